Refuse requests framed by both a length and chunks, which smuggle others

Cause: a body with Content-Length and Transfer-Encoding was read by its chunks, and what followed the last chunk within the length was taken for the next request and sent to a server. The same holds for a transfer coding in HTTP/1.0. Both now get 400 and a close (RFC 9112, 6.1).

Ruled out: repeats by the sidecar and the framing towards servers, by a trace of the bytes that clients sent: the ids at fault stand inside chunked bodies.

--- a/micadeck/frontend.py
+++ b/micadeck/frontend.py
@@ -130,6 +130,15 @@
     return int.from_bytes(hashlib.blake2b(last, digest_size=6).digest(), "big") if last else None
 
 
+def _is_framed_ambiguously(request: h11.Request) -> bool:
+    """Whether readers may differ on where the body ends: what one takes for body is a request to another.
+
+    RFC 9112, 6.1: a transfer coding beside a length, or from a client that speaks HTTP/1.0.
+    """
+    names = {name for name, _ in request.headers}
+    return b"transfer-encoding" in names and (b"content-length" in names or request.http_version < b"1.1")
+
+
 class ClientSide(asyncio.Protocol):
     """One connection of the application, one request at a time."""
 
@@ -257,7 +266,9 @@
             if isinstance(event, h11.Request):
                 self._request = event
                 length = next((value for name, value in event.headers if name == b"content-length"), b"0")
-                if int(length) > MOST_BODY:
+                if _is_framed_ambiguously(event):
+                    self._reject(400)
+                elif int(length) > MOST_BODY:
                     self._reject(413)
             elif isinstance(event, h11.Data):
                 self._body += event.data
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -5,7 +5,7 @@
 import asyncio
 
 import pytest
-from loopback import OK, Heard, play, request, stage, until
+from loopback import OK, Heard, play, request, soon, stage, until
 
 
 @pytest.mark.parametrize(
@@ -85,6 +85,23 @@
     play(work)
 
 
+@pytest.mark.parametrize("form", ["length beside chunks", "chunks in HTTP/1.0"])
+def test_a_request_inside_a_body_of_two_lengths_reaches_no_server(form: str) -> None:
+    # Guards against smuggling: by its chunks the body ends before the inner request, by its length after it.
+    async def work() -> None:
+        async with stage(OK) as scene:
+            client = await scene.client()
+            body = b"0\r\n\r\n" + request("check")
+            length = str(len(body)) if form == "length beside chunks" else ""
+            raw = request("lodge", Content_Length=length, Transfer_Encoding="chunked") + body
+            client.send(raw if length else raw.replace(b"HTTP/1.1", b"HTTP/1.0", 1))
+            assert (await client.answer()).status == 400
+            assert await soon(client.reader.read()) == b""  # it hung up, so nothing more is read
+            assert scene.heard == []
+
+    play(work)
+
+
 def test_requests_on_one_connection_are_answered_in_order_also_when_sent_ahead() -> None:
     async def work() -> None:
         async def echo(heard: Heard) -> bytes:
