Take a server for newly started only when a trial finds nobody there

Cause: two broken connections in a row ejected a server and also held it cold for the whole warming time. On a flaky network all servers were soon held cold, and their budgets refused most of the work of an idle fleet.

Ruled out: overload (window open at each refusal), stale connections and poisonous requests (by a trace of each exchange), ejection (mostly none or one of eight).

--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -968,8 +968,10 @@
             server.strikes += 1
             if trial or (server.strikes >= STRIKES and server.ejected_until is None):
                 self._eject(server, outcome.value)
-                if outcome in (Outcome.DIAL_FAILED, Outcome.DROPPED):
-                    self._turned_cold(server, self._now)  # its process may come back before the list says so
+                if trial and outcome is Outcome.DIAL_FAILED:
+                    # Nobody is there even after a wait: its process died, and may be back before the list
+                    # says so.  Broken connections alone tell of the network; the warm must not be held cold.
+                    self._turned_cold(server, self._now)
 
     def _eject(self, server: Server, reason: str, most: float = EJECTED_MOST) -> None:
         if server.ejected_until is None:
--- a/tests/test_draw.py
+++ b/tests/test_draw.py
@@ -259,6 +259,54 @@
     assert stage.said(Refuse) == [] and stage.said(Cancel) == []
 
 
+def test_servers_whose_connections_break_now_and_then_are_not_held_cold() -> None:
+    # Guards against a flaky network that leaves no server to send to: all would pass for newly started.
+    stage = Stage()
+    stage.servers(names(4))
+    stage.serve(300, every_us=10 * MS)
+    ends = {name: 5 * index for index, name in enumerate(names(4))}
+    for _ in range(600):
+        stage.wait(10 * MS)
+        request = stage.request()
+        while len(stage.sends(request)) > sum(each.request == request for each in stage.said(Refuse)):
+            server = stage.target(request)
+            ends[server] += 1
+            if ends[server] % 20 > 1:  # of twenty in a row at a server, two break
+                stage.end(request)
+                break
+            stage.end(request, Outcome.DROPPED)
+    assert len(stage.said(Refuse)) < 12  # of 600: by chance all four are ejected or tried
+    assert any("dropped" in each.text for each in stage.said(Log))
+
+
+def test_a_server_that_stays_away_comes_back_as_a_cold_one() -> None:
+    # Its process died and is back before the list says so: a full share at once would push it over.
+    stage = Stage()
+    stage.servers(names(4))
+    stage.serve(300, every_us=10 * MS)
+    away = names(4)[0]
+    back_at = stage.now + 4 * S
+
+    def traffic(count: int) -> int:
+        """Play a request every 10 ms, each answered after 50 ms; give how many `away` took."""
+        asked: list[int] = []
+        for _ in range(count):
+            stage.wait(10 * MS)
+            asked.append(stage.request())
+            while stage.now < back_at and stage.target(asked[-1]) == away:
+                stage.end(asked[-1], Outcome.DIAL_FAILED)
+            if len(asked) > 5:
+                stage.end(asked[-6])
+        for each in asked[-5:]:
+            stage.end(each)
+        return sum(stage.target(each) == away for each in asked)
+
+    assert traffic(400) == 0
+    while "readmitted" not in stage.said(Log)[-1].text:
+        traffic(1)
+    assert 0 < traffic(200) < 30  # an even share is 50
+
+
 def test_a_restarted_process_is_readmitted_as_a_cold_server() -> None:
     stage = Stage()
     hung, _ = _with_one_hung(stage, 20)
