Hold clients to a third of the descriptors, however many connect at once

Cause: the event loop accepted up to 1,024 connections before any over the limit was let go, and a newcomer stayed where all others were at work. With no descriptor left, accepting stopped for a second at a time and no server could be dialled. Making room also polled every connection for each newcomer: 1.7 of 6 s of the busy sidecar's time. Clients had half the descriptors; the terms say a third.

--- a/micadeck/frontend.py
+++ b/micadeck/frontend.py
@@ -4,10 +4,13 @@
 
 import asyncio
 import hashlib
+import os
 import re
 import select
+import socket
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from itertools import islice
 
 import h11
 
@@ -16,6 +19,9 @@
 
 MOST_BODY = 64 << 10
 _BACKLOG = 1_024
+_ACCEPTS_AT_ONCE = 8  # so many connections are accepted before those over the limit are let go
+_YOUNG_S = 0.25  # a connection that waits for its request for longer goes before one at rest
+_LOOKS = 8  # connections at rest that are looked at for one to let go
 _LINGER_S = 1.0  # how long a client may go on sending what is refused unread, before its connection is cut
 _HEALTH = b"/_health"
 _READ_AHEAD = 2 * MOST_BODY  # what a client may send beyond the request at hand, before reading pauses
@@ -158,11 +164,6 @@
         """Whether closing it now loses no request, not even one that lies unread in the socket."""
         return self._owed is None and self._request is None and not self._ended and not self._poll.poll(0)
 
-    @property
-    def is_stalled(self) -> bool:
-        """Whether it holds no more than a part of a request, which nobody has taken yet."""
-        return self._owed is None and not self._ended
-
     # What the sidecar calls
 
     def answer(self, status: int, headers: Headers, body: bytes) -> None:
@@ -216,6 +217,8 @@
     def data_received(self, data: bytes) -> None:
         if self._ended:
             return
+        if self._owed is None and self._request is None:
+            self._frontend.at_work(self)
         self._http.receive_data(data)
         self._advance()
         ahead = len(self._http.trailing_data[0]) if self._owed is not None else 0
@@ -281,6 +284,7 @@
 
     def _taken(self) -> None:
         assert self._request is not None
+        self._frontend.taken(self)
         if self._request.target == _HEALTH:
             self.answer(200, [], b"ready\n")
             return
@@ -324,14 +328,21 @@
         self.arrived = on_arrival
         self.gone = on_gone
         self.is_draining = False
-        self._connections: dict[ClientSide, None] = {}  # the longest at rest first
+        self._connections: dict[ClientSide, None] = {}
+        self._at_rest: dict[ClientSide, None] = {}  # answered, and nothing more came: the longest first
+        self._waiting: dict[ClientSide, float] = {}  # without a whole request yet, and since when: as above
         self._server: asyncio.Server | None = None
         self.last_opened = 0.0
 
     async def listen(self, address: Address) -> None:
-        self._server = await asyncio.get_running_loop().create_server(
-            lambda: ClientSide(self), *address, backlog=_BACKLOG, reuse_address=True
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: ClientSide(self), *address, backlog=_ACCEPTS_AT_ONCE, reuse_address=True
         )
+        for each in self._server.sockets:
+            # The event loop accepts as many at once as may queue, and so runs out of descriptors.
+            with socket.socket(fileno=os.dup(each.fileno())) as listener:
+                listener.listen(_BACKLOG)
 
     @property
     def port(self) -> int:
@@ -361,18 +372,42 @@
     # What connections report
 
     def opened(self, connection: ClientSide) -> None:
-        self._connections[connection] = None
         self.last_opened = asyncio.get_running_loop().time()
-        if len(self._connections) > self._most:
-            others = [each for each in self._connections if each is not connection]
-            spare = next((each for each in others if each.is_idle), None)
-            spare = spare or next((each for each in others if each.is_stalled), None)
-            if spare is not None:
-                spare.close()
+        if len(self._connections) >= self._most and not self._make_room():
+            connection.close()  # all others are owed an answer
+            return
+        self._connections[connection] = None
+        self._waiting[connection] = self.last_opened
+
+    def at_work(self, connection: ClientSide) -> None:
+        """The first bytes of a request came."""
+        if self._at_rest.pop(connection, connection) is None:
+            self._waiting[connection] = asyncio.get_running_loop().time()
+
+    def taken(self, connection: ClientSide) -> None:
+        """A whole request came."""
+        self._waiting.pop(connection, None)
 
     def at_rest(self, connection: ClientSide) -> None:
-        self._connections.pop(connection, None)
-        self._connections[connection] = None
+        if connection in self._connections:
+            self._at_rest[connection] = None
 
     def closed(self, connection: ClientSide) -> None:
         self._connections.pop(connection, None)
+        self._at_rest.pop(connection, None)
+        self._waiting.pop(connection, None)
+
+    def _make_room(self) -> bool:
+        """Let one connection go that loses no request by it, if there is one.
+
+        Looks at few: with all of them polled for each newcomer, a rush leaves no time to answer anybody.
+        """
+        waiting = next(iter(self._waiting), None)
+        late = waiting is not None and self.last_opened - self._waiting[waiting] > _YOUNG_S
+        resting = next((each for each in islice(self._at_rest, _LOOKS) if each.is_idle), None)
+        spare = waiting if late else resting or waiting
+        if spare is None:
+            return False
+        self.closed(spare)
+        spare.close()
+        return True
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -46,7 +46,8 @@
 from micadeck.upstream import Call, Upstream, load_report
 
 _RESERVED = 48  # descriptors for everything but clients and servers
-_FOR_CLIENTS = 0.5  # of the rest
+_FOR_CLIENTS = 1 / 3  # of all, as the platform's terms allow at the most
+_FOR_CLIENTS_LEFT = 0.5  # and of what is not reserved, where that is less
 _PROBE_WITHIN_US = 1_000_000
 _NEW_FOR_S = 0.4  # how long after SIGTERM new connections may go on coming
 _QUIET_S = 0.05  # and how long none must have come before the listener closes
@@ -84,7 +85,7 @@
         self._next_request = 1
         self._stop_by: int | None = None  # when all must be answered, once it drains
         room = config.sockets - _RESERVED
-        for_clients = int(room * _FOR_CLIENTS)
+        for_clients = int(min(config.sockets * _FOR_CLIENTS, room * _FOR_CLIENTS_LEFT))
         self.frontend = Frontend(config.settings, for_clients, self._arrived, self._gone)
         self._upstream = Upstream(self._clock, config.settings.limits, room - for_clients)
         self._discovery = discovery.Discovery(
