Do no work for clients that closed before their request was read

Cause: a sidecar short of CPU reads requests so late that their clients have given up, closed and asked anew. It parsed, placed and answered them all the same, and so never caught up. It now looks whether the other end is closed before it takes a request.

--- a/micadeck/frontend.py
+++ b/micadeck/frontend.py
@@ -21,6 +21,7 @@
 _BACKLOG = 1_024
 _ACCEPTS_AT_ONCE = 8  # so many connections are accepted before those over the limit are let go
 _YOUNG_S = 0.25  # a connection that waits for its request for longer goes before one at rest
+_LEFT = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # the other end is closed
 _LOOKS = 8  # connections at rest that are looked at for one to let go
 _LINGER_S = 1.0  # how long a client may go on sending what is refused unread, before its connection is cut
 _HEALTH = b"/_health"
@@ -206,12 +207,18 @@
         if self._transport is not None:
             self._transport.close()
 
+    def abort(self) -> None:
+        """Cut the connection, and drop what is still to be written."""
+        self._ended = True
+        if self._transport is not None:
+            self._transport.abort()
+
     # What the event loop calls
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+        self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
         self._frontend.opened(self)
 
     def data_received(self, data: bytes) -> None:
@@ -246,6 +253,14 @@
 
     # The rest
 
+    def _has_left(self) -> bool:
+        """Whether the client closed its connection behind the request.
+
+        Guards against collapse: when there is too little time for all, requests are read so late that their
+        clients have given up and ask anew, and all the time would go to answers that nobody reads.
+        """
+        return any(seen & _LEFT for _, seen in self._poll.poll(0))
+
     def _gone(self) -> None:
         owed, self._owed = self._owed, None
         if owed is not None:
@@ -288,6 +303,9 @@
         if self._request.target == _HEALTH:
             self.answer(200, [], b"ready\n")
             return
+        if self._has_left():
+            self.abort()
+            return
         try:
             incoming = self._frontend.read(self._request, bytes(self._body))
         except BadRequest as fault:
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -130,6 +130,23 @@
     play(work)
 
 
+def test_no_work_is_done_for_a_client_that_left_before_its_request_was_read() -> None:
+    # Guards against collapse: a sidecar short of time would spend it on answers that nobody reads.
+    async def work() -> None:
+        async with stage(OK) as scene:
+            client = await scene.client()
+            assert (await client.ask(target="/api/1")).status == 200  # there is a connection to reuse now
+            frontend = scene.sidecar.frontend
+            opened = frontend.last_opened
+            with socket.create_connection((HOST, frontend.port)) as gone:
+                gone.sendall(request("check", target="/api/gone"))
+            await until(lambda: frontend.last_opened > opened and frontend.open_connections == 1)
+            assert (await client.ask(target="/api/2")).status == 200
+            assert [each.target for each in scene.heard] == ["/api/1", "/api/2"]
+
+    play(work)
+
+
 def test_more_than_max_open_is_refused_at_once() -> None:
     async def work() -> None:
         release = asyncio.Event()
