Re-read the configuration at SIGHUP and move discovery, in place of ending

Cause: SIGHUP had no handler, so the signal the platform sends after it replaces the configuration ended the sidecar, a crash. Now the file is read again, `discovery` is taken over, and the watch goes on at the new address at once with a call that waits for nothing. A bad file changes nothing and is logged. A call that is owed its answer gets it from the new address.

--- a/micadeck/__main__.py
+++ b/micadeck/__main__.py
@@ -40,8 +40,19 @@
         print(text, file=sys.stderr, flush=True)
 
 
+def reread(sidecar: Sidecar, log: LineLog) -> None:
+    """Take over what may change while running: where discovery is.  A bad file changes nothing."""
+    try:
+        config = load(os.environ)
+    except ConfigError as fault:
+        log(f"kept the configuration: {fault}".replace("\n", " "))
+        return
+    sidecar.move_discovery(config.discovery)
+    log(f"re-read the configuration: discovery is at {config.discovery[0]}:{config.discovery[1]}")
+
+
 async def serve(config: Config) -> None:
-    """Run until SIGTERM or SIGINT, then drain."""
+    """Run until SIGTERM or SIGINT, then drain; SIGHUP reads the configuration again."""
     log = LineLog()
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -51,6 +62,7 @@
         lambda _, what: log(f"internal error: {what['message']}: {what.get('exception')!r}")
     )
     sidecar = Sidecar(config, log)
+    loop.add_signal_handler(signal.SIGHUP, reread, sidecar, log)
     await sidecar.start()
     log(f"{config.name} serves on {config.listen[0]}:{sidecar.frontend.port}")
     gc.freeze()  # what is there now stays: collections need not look at it
--- a/micadeck/discovery.py
+++ b/micadeck/discovery.py
@@ -120,14 +120,29 @@
         self._on_list = on_list
         self._on_failed = on_failed
         self._watch: asyncio.Task[None] | None = None
+        self._is_wanted = False
         self._watch_answered = False
         self._tasks: set[asyncio.Task[None]] = set()
 
     def start(self) -> None:
         """Where lists are pushed, the agent's are heard from the start on, unasked."""
         if self._pushed:
+            self._is_wanted = True
             self._watch = self._spawn(self._hear_pushed())
 
+    def move(self, address: Address) -> None:
+        """Make all further calls to this address; a watch goes on there at once, from the version it had.
+
+        The first call there waits for nothing: what changed meanwhile must not wait for the next change.
+        """
+        if address == self._address:
+            return
+        self._address = address
+        if self._watch is not None:
+            self._watch.cancel()
+        if self._is_wanted:
+            self._watch = self._spawn(self._hear_pushed() if self._pushed else self._follow())
+
     def follow(self, wanted: bool) -> None:
         """Watch the list from now on, or no longer.
 
@@ -136,6 +151,7 @@
         """
         if self._pushed:
             return
+        self._is_wanted = wanted
         if self._watch is not None and not self._watch.done():
             if wanted and not self._watch_answered:
                 return
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -38,7 +38,7 @@
     TimerFired,
 )
 from micadeck import discovery
-from micadeck.client import Headers, Message, Response
+from micadeck.client import Address, Headers, Message, Response
 from micadeck.clock import Clock
 from micadeck.config import Config
 from micadeck.frontend import ClientSide, Frontend, Incoming
@@ -111,6 +111,10 @@
         self._discovery.start()
         await self.frontend.listen(self._config.listen)
 
+    def move_discovery(self, address: Address) -> None:
+        """Discovery is at another address from now on."""
+        self._discovery.move(address)
+
     @property
     def open_requests(self) -> int:
         """Requests that are not over: unanswered, or with an attempt still out."""
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -53,6 +53,37 @@
     play(work)
 
 
+@pytest.mark.parametrize("answered", [True, False])
+def test_a_watch_moves_with_discovery_and_loses_no_change(answered: bool) -> None:
+    async def work() -> None:
+        old, new = ScriptedDiscovery(), ScriptedDiscovery()
+        for each in (old, new):
+            await each.start()
+        if not answered:
+            old.script = None  # slow as it is, the call is owed one answer
+        ears = Ears(old)
+        ears.discovery.follow(True)
+        if answered:
+            assert await ears.next() is not None
+        await until(lambda: len(old.heard) == (2 if answered else 1))
+        new.version = 9
+        new.servers = [line("s-1", "127.0.0.2:80")]
+        ears.discovery.move(parse_address(new.address))
+        told = await ears.next()
+        assert told is not None and told.version == 9
+        await until(lambda: len(new.heard) == 2)
+        new.tell(line("s-1", "127.0.0.2:80", state="leaving"))
+        told = await ears.next()
+        assert told is not None and told.version == 10
+        ears.discovery.fetch()
+        assert await ears.next() is not None and len(old.heard) <= 2
+        ears.discovery.close()
+        old.stop()
+        new.stop()
+
+    play(work)
+
+
 GOOD = {"version": 7, "full": True, "servers": []}
 
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -176,6 +176,32 @@
     play(work)
 
 
+def test_sighup_moves_discovery_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
+    async def work() -> None:
+        path = tmp_path / "config.json"
+        async with program(OK, tmp_path) as running:
+            stderr = running.process.stderr
+            assert stderr is not None
+            other = ScriptedDiscovery()
+            await other.start()
+            good = json.loads(path.read_text())
+            other.servers = good["known"]["servers"]
+            path.write_text("{")
+            running.process.send_signal(signal.SIGHUP)
+            assert (await soon(stderr.readline())).startswith(b"kept the configuration: BALANCER_CONFIG: ")
+            path.write_text(json.dumps({**good, "discovery": other.address}))
+            running.process.send_signal(signal.SIGHUP)
+            told = (await soon(stderr.readline())).decode()
+            assert told == f"re-read the configuration: discovery is at {other.address}\n"
+            await until(lambda: len(other.heard) >= 2)
+            assert (await (await running.client()).ask()).status == 200
+            running.process.send_signal(signal.SIGTERM)
+            assert await soon(running.process.wait()) == 0
+            other.stop()
+
+    play(work)
+
+
 def test_an_address_in_use_is_exit_code_1(tmp_path: Path) -> None:
     async def work() -> None:
         async with program(OK, tmp_path) as running:
