Let go of clients that send no whole request or read no answer in time

Cause: nothing on the application's side had a deadline. A peer that connected and sent nothing, half a head or half a body, or read no answer, kept its descriptor until the limit on connections pushed it out. Now 2 s: 408 where a request was begun, else a close. Clients that are refused unread have as long to hang up.

--- a/micadeck/frontend.py
+++ b/micadeck/frontend.py
@@ -10,7 +10,7 @@
 import socket
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from itertools import islice
+from itertools import islice, takewhile
 
 import h11
 
@@ -23,7 +23,9 @@
 _YOUNG_S = 0.25  # a connection that waits for its request for longer goes before one at rest
 _LEFT = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # the other end is closed
 _LOOKS = 8  # connections at rest that are looked at for one to let go
-_LINGER_S = 1.0  # how long a client may go on sending what is refused unread, before its connection is cut
+_WITHIN_S = 2.0  # to send a whole request, to read an answer, or to end what was refused unread
+_AT_REST_S = 60.0  # how long a connection is kept that nobody uses
+_SWEEP_S = 0.25
 _HEALTH = b"/_health"
 _READ_AHEAD = 2 * MOST_BODY  # what a client may send beyond the request at hand, before reading pauses
 
@@ -194,7 +196,8 @@
             self._http.start_next_cycle()
             self._request = None
             self._body = bytearray()
-            self._frontend.at_rest(self)
+            if not self._is_writing_paused:
+                self._frontend.at_rest(self)
             if self._http.trailing_data[0]:
                 # Guards against waiting for data when the next request came in one piece with this one.
                 asyncio.get_running_loop().call_soon(self._advance)
@@ -213,6 +216,15 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def overdue(self) -> None:
+        """The client had its time to send a request, to read its answer or to hang up."""
+        if self._ended or self._is_writing_paused:
+            self.abort()
+        elif self._request is None and not self._http.trailing_data[0]:
+            self.close()
+        else:
+            self._reject(408)
+
     # What the event loop calls
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -234,12 +246,16 @@
 
     def pause_writing(self) -> None:
         self._is_writing_paused = True
+        self._frontend.waits_for(self)
         if self._transport is not None:
             self._transport.pause_reading()
 
     def resume_writing(self) -> None:
         self._is_writing_paused = False
         if self._transport is not None and not self._transport.is_closing():
+            self._frontend.taken(self)
+            if self._owed is None and self._request is None:
+                self._frontend.at_rest(self)
             self._transport.resume_reading()
             self._advance()
 
@@ -327,7 +343,12 @@
         assert self._transport is not None
         if self._transport.can_write_eof():
             self._transport.write_eof()
-        asyncio.get_running_loop().call_later(_LINGER_S, self._transport.close)
+        self._frontend.waits_for(self)
+
+
+def _older(since: dict[ClientSide, float], than: float) -> list[ClientSide]:
+    """Those that stand there for longer; the longest come first."""
+    return list(takewhile(lambda each: since[each] <= than, since))
 
 
 class Frontend:
@@ -347,8 +368,10 @@
         self.gone = on_gone
         self.is_draining = False
         self._connections: dict[ClientSide, None] = {}
-        self._at_rest: dict[ClientSide, None] = {}  # answered, and nothing more came: the longest first
-        self._waiting: dict[ClientSide, float] = {}  # without a whole request yet, and since when: as above
+        # Answered, and nothing more came; and those whose client has something to do: the longest first.
+        self._at_rest: dict[ClientSide, float] = {}
+        self._waiting: dict[ClientSide, float] = {}
+        self._sweep: asyncio.TimerHandle | None = None
         self._server: asyncio.Server | None = None
         self.last_opened = 0.0
 
@@ -395,20 +418,50 @@
             connection.close()  # all others are owed an answer
             return
         self._connections[connection] = None
-        self._waiting[connection] = self.last_opened
+        self.waits_for(connection)
+        self._sweep_later()
 
     def at_work(self, connection: ClientSide) -> None:
         """The first bytes of a request came."""
-        if self._at_rest.pop(connection, connection) is None:
+        if self._at_rest.pop(connection, None) is not None:
+            self.waits_for(connection)
+
+    def waits_for(self, connection: ClientSide) -> None:
+        """The client has something to do, within its time from now."""
+        if connection in self._connections:
+            self._waiting.pop(connection, None)
             self._waiting[connection] = asyncio.get_running_loop().time()
 
     def taken(self, connection: ClientSide) -> None:
-        """A whole request came."""
+        """The client has done its part."""
         self._waiting.pop(connection, None)
+        self._at_rest.pop(connection, None)
 
     def at_rest(self, connection: ClientSide) -> None:
         if connection in self._connections:
-            self._at_rest[connection] = None
+            self._at_rest[connection] = asyncio.get_running_loop().time()
+
+    def close_overdue(self, now: float) -> None:
+        """Let go of clients that had their time, by the event loop's clock.
+
+        Guards against slow, silent and hung peers: each would hold a descriptor for good.
+        """
+        for each in _older(self._waiting, now - _WITHIN_S):
+            del self._waiting[each]
+            each.overdue()
+        for each in _older(self._at_rest, now - _AT_REST_S):
+            if each.is_idle:
+                each.close()
+
+    def _sweep_later(self) -> None:
+        if self._sweep is None:
+            self._sweep = asyncio.get_running_loop().call_later(_SWEEP_S, self._sweep_now)
+
+    def _sweep_now(self) -> None:
+        self._sweep = None
+        self.close_overdue(asyncio.get_running_loop().time())
+        if self._connections:
+            self._sweep_later()
 
     def closed(self, connection: ClientSide) -> None:
         self._connections.pop(connection, None)
@@ -426,6 +479,9 @@
         spare = waiting if late else resting or waiting
         if spare is None:
             return False
+        if spare is resting:
+            spare.close()
+        else:
+            spare.abort()  # it may hold what its client does not read
         self.closed(spare)
-        spare.close()
         return True
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -255,6 +255,76 @@
     play(work)
 
 
+OVERDUE_S = 2.1  # after so long a client has had its time
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [b"", b"GET /api HT", request("check")[:-2], request("lodge", body=b"x" * 10)[:-1]],
+    ids=["silent", "half a line", "half a head", "half a body"],
+)
+def test_a_client_that_sends_no_whole_request_is_let_go_in_time(sent: bytes) -> None:
+    async def work() -> None:
+        async with stage(OK) as scene:
+            frontend, now = scene.sidecar.frontend, asyncio.get_running_loop().time
+            kept = await scene.client()
+            assert (await kept.ask()).status == 200
+            opened = frontend.last_opened
+            slow = await scene.client()
+            await until(lambda: frontend.last_opened > opened)
+            slow.send(sent)
+            assert (await kept.ask()).status == 200  # what was sent before is read by now
+            frontend.close_overdue(frontend.last_opened + OVERDUE_S - 0.2)
+            assert frontend.open_connections == 2
+            frontend.close_overdue(now() + OVERDUE_S)
+            if sent:
+                assert (await slow.answer()).status == 408
+            assert await soon(slow.reader.read()) == b""
+            frontend.close_overdue(now() + OVERDUE_S)  # it has answer and end; if it stays, it is cut
+            await until(lambda: frontend.open_connections == 1)
+            assert (await kept.ask()).status == 200
+
+    play(work)
+
+
+def test_a_client_that_begins_a_further_request_and_never_ends_it_is_let_go_in_time() -> None:
+    async def work() -> None:
+        async with stage(OK) as scene:
+            client, other = await scene.client(), await scene.client()
+            assert (await client.ask()).status == 200
+            client.send(request("check")[:-2])
+            assert (await other.ask()).status == 200
+            scene.sidecar.frontend.close_overdue(asyncio.get_running_loop().time() + OVERDUE_S)
+            assert (await client.answer()).status == 408
+
+    play(work)
+
+
+def test_a_client_that_reads_no_answers_is_let_go_in_time() -> None:
+    async def work() -> None:
+        large = b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" + b"x" * 60_000
+        async with stage(large) as scene:
+            frontend, now = scene.sidecar.frontend, asyncio.get_running_loop().time
+            with socket.socket() as deaf:
+                deaf.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+                deaf.connect((HOST, frontend.port))
+
+                def moved(sent: int) -> bool:
+                    if sent > 1:
+                        frontend.close_overdue(now() + OVERDUE_S)
+                    return len(scene.heard) == sent or (sent > 1 and frontend.open_connections == 0)
+
+                for number in range(1, 400):
+                    deaf.sendall(request("check"))
+                    await until(lambda sent=number: moved(sent))  # type: ignore[misc]
+                    if frontend.open_connections == 0:
+                        break
+                assert frontend.open_connections == 0
+            await until(lambda: scene.sidecar.open_requests == 0)
+
+    play(work)
+
+
 def test_letting_go_of_idle_connections_spares_one_with_a_request_unread() -> None:
     # Guards against a reset that loses a request at the end of a drain, when nobody listens for a second try.
     async def work() -> None:
