Serve nothing that comes beside an open request or behind a bad one

Cause: the protocol has clients send one request at a time, but what lay behind a request on the same connection was read on as the next one, also after a 400. A body longer than its head says so became a request to a server. Now two in one piece get 400, what comes beside an open request is dropped and its answer is the last, and a bad request ends its connection.

The test that had 20 requests sent ahead answered in order enshrined this against PROTOCOL; it is replaced.

--- a/micadeck/frontend.py
+++ b/micadeck/frontend.py
@@ -27,7 +27,6 @@
 _AT_REST_S = 60.0  # how long a connection is kept that nobody uses
 _SWEEP_S = 0.25
 _HEALTH = b"/_health"
-_READ_AHEAD = 2 * MOST_BODY  # what a client may send beyond the request at hand, before reading pauses
 
 _REQUEST_ID = re.compile(rb"[!-~]{1,128}")
 _TIMEOUT = re.compile(rb"[0-9]{1,5}(\.[0-9]{0,9})?")
@@ -198,11 +197,6 @@
             self._body = bytearray()
             if not self._is_writing_paused:
                 self._frontend.at_rest(self)
-            if self._http.trailing_data[0]:
-                # Guards against waiting for data when the next request came in one piece with this one.
-                asyncio.get_running_loop().call_soon(self._advance)
-            if not self._is_writing_paused:
-                self._transport.resume_reading()
         else:
             self._transport.close()
 
@@ -236,13 +230,13 @@
     def data_received(self, data: bytes) -> None:
         if self._ended:
             return
-        if self._owed is None and self._request is None:
+        if self._owed is not None:
+            self._ended = True  # what comes beside an open request is no request: its answer is the last
+            return
+        if self._request is None:
             self._frontend.at_work(self)
         self._http.receive_data(data)
         self._advance()
-        ahead = len(self._http.trailing_data[0]) if self._owed is not None else 0
-        if ahead > _READ_AHEAD and self._transport is not None:
-            self._transport.pause_reading()
 
     def pause_writing(self) -> None:
         self._is_writing_paused = True
@@ -252,11 +246,13 @@
 
     def resume_writing(self) -> None:
         self._is_writing_paused = False
-        if self._transport is not None and not self._transport.is_closing():
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._transport.resume_reading()
+        if not self._ended:
             self._frontend.taken(self)
             if self._owed is None and self._request is None:
                 self._frontend.at_rest(self)
-            self._transport.resume_reading()
             self._advance()
 
     def eof_received(self) -> None:
@@ -315,6 +311,10 @@
 
     def _taken(self) -> None:
         assert self._request is not None
+        if self._http.trailing_data[0]:
+            # Guards against bodies of another length than their head says: a client sends one at a time.
+            self._reject(400, b"more came than one request\n")
+            return
         self._frontend.taken(self)
         if self._request.target == _HEALTH:
             self.answer(200, [], b"ready\n")
@@ -325,14 +325,14 @@
         try:
             incoming = self._frontend.read(self._request, bytes(self._body))
         except BadRequest as fault:
-            self.answer(400, [], f"{fault}\n".encode())
+            self._reject(400, f"{fault}\n".encode())
             return
         self._owed = self._frontend.arrived(self, incoming)
 
-    def _reject(self, status: int) -> None:
-        """Answer what can't be read on, then hang up."""
+    def _reject(self, status: int, why: bytes = b"") -> None:
+        """Answer what is no request of this protocol, then hang up: no more of it may pass for one."""
         self._ended = True
-        self.answer(status, [], b"")
+        self.answer(status, [], why)
 
     def _hang_up(self) -> None:
         """End our side and let the client finish sending, for a while.
