Judge a cold server's budget by an even part of what is sent, if that is more

Cause: the budget followed what warm servers serve for this balancer. Where these drown they serve little, and a balancer just restarted has seen them serve nothing, so cold servers got next to nothing while the warm ones drowned in the rest.

--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -268,6 +268,7 @@
         self._mean_cost: dict[str, float] = {}
         self._arrivals = Rate(RATE_SPANS * settings.rules.fall_us)
         self._served_warm = Rate(RATE_SPANS * settings.rules.fall_us)
+        self._sent = Rate(RATE_SPANS * settings.rules.fall_us)
         self._norms: dict[tuple[str, int], float] = {}  # usual time of a class and size, over all servers
         self._spent = 0.0  # the part of its aim that the typical answer takes
         self._cores: float | None = None  # how busy servers report their cores, on average; None: not at all
@@ -726,6 +727,7 @@
         request.attempts.append(attempt)
         server.in_flight += 1
         self._pending += 1
+        self._sent.add(self._now, 1.0)
         if server.ejected_until is not None:
             server.trial = attempt
             self._stuck += 1
@@ -1055,6 +1057,10 @@
             peers = warm or self._ready  # ejected ones too: they served a part of what is counted
             served = self._served_warm if warm else self._arrivals
             self._bearable = served.per_us(self._now) / max(min(len(peers), self._reach()), 1)
+            # Warm servers that drown serve little, and a new balancer has seen none serve: an even part of
+            # what is sent is no less bearable, or the cold would starve while the warm drown.
+            even = self._sent.per_us(self._now) / max(min(len(self._ready), self._reach()), 1)
+            self._bearable = max(self._bearable, even)
             self._mean_size = sum(each.nominal for each in peers) / max(len(peers), 1)
         return self._bearable
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -249,6 +249,26 @@
     assert times or burst == 1  # singly, the quickest known server takes all
 
 
+def test_cold_servers_do_not_starve_while_the_warm_ones_drown() -> None:
+    # A new balancer, or one whose warm servers are too late for all, has seen no warm server serve anything.
+    stage = Stage()
+    began = stage.now - 5 * S
+    warm, cold = names(4)[:2], names(4)[2:]
+    stage.servers([*warm, *(ListedServer(name, zone="east", started_at=began) for name in cold)])
+    asked: list[int] = []
+    for _ in range(300):
+        stage.wait(10 * MS)
+        asked.append(stage.request("pay", remaining_us=400 * MS))
+        for each in asked[-6:-5]:
+            if stage.sends(each) and stage.target(each) in cold:
+                stage.end(each)
+        for each in asked[-40:-39]:
+            if stage.sends(each) and stage.target(each) in warm:
+                stage.end(each, Outcome.EXPIRED, answered=False)
+    got = sum(each.server in cold for _, each in stage.sends())
+    assert got >= 5  # the window is nearly shut; without this they get none
+
+
 def test_a_warm_server_is_not_held_back() -> None:
     stage = Stage()
     stage.servers(names(2))
