--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -249,6 +249,23 @@
     assert times or burst == 1  # singly, the quickest known server takes all
 
 
+def test_a_cold_server_gets_what_it_surely_bears() -> None:
+    # Guards against cold servers that stand idle while the warm ones drown in what is left to them.
+    stage = Stage()
+    stage.servers(names(4))
+    stage.serve(300, every_us=10 * MS, taking_us=100 * MS)
+    began = stage.now - 2 * S
+    cold = ListedServer(names(4)[0], zone="east", started_at=began)
+    stage.servers([cold], ListKind.CHANGES)
+    before = len(stage.sends())
+    stage.serve(200, every_us=10 * MS, taking_us=100 * MS)
+    sent = [each for _, each in stage.sends()[before:]]
+    got = sum(each.server == cold.server for each in sent)
+    warm = (len(sent) - got) / 3  # what a warm server served meanwhile
+    warmth = 0.2 + 0.8 * 3 / 10  # on average, at least
+    assert warm * warmth < got < 3 * warm * warmth
+
+
 def test_cold_servers_do_not_starve_while_the_warm_ones_drown() -> None:
     # A new balancer, or one whose warm servers are too late for all, has seen no warm server serve anything.
     stage = Stage()
