Tell refused clients when to come back, where the settings allow it

Now about 0.6 of the class's aim, by chance so that they spread. The refusal itself leaves at once as before.

--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -56,6 +56,7 @@
 REMOTE_LEAST = 0.25  # odds of a server in another zone while the own zone is as quick
 REMOTE_EVEN = 0.3  # the own zone this far behind the others' pace, all zones are drawn alike
 REMOTE_SPENT = 0.12  # or the typical answer at twice this part of its aim
+RETRY_AIMS = 0.6  # of its aim: about how long a refused client is told to stay away
 EXTRA_PER_REQUEST = 0.2  # further attempts after failures, for each first attempt: no retry storms
 EXTRA_SAVED = 50.0  # first attempts whose allowance may be saved up
 STRIKES = 2  # failures in a row, none answered between, that eject a server
@@ -767,9 +768,22 @@
         harmless = request.kind.repeat is Repeat.SAFE or not any(a.may_have_run for a in request.attempts)
         if request.kind.repeat is Repeat.KEYED and request.kind.group is Group.ALL:
             harmless = True
-        self._actions.append(Refuse(request.ident) if harmless else Fail(request.ident))
+        self._actions.append(
+            Refuse(request.ident, self._stay_away(request)) if harmless else Fail(request.ident)
+        )
         self._close(request)
 
+    def _stay_away(self, request: Request) -> int:
+        """How long a refused client should wait before it asks again; 0: nothing to say.
+
+        By chance, so that those refused together do not come back together.
+        """
+        limits = self._settings.limits
+        if not limits.retry_after:
+            return 0
+        aims = RETRY_AIMS * (0.5 + self._random.random())
+        return min(int(aims * request.kind.aim_us), limits.max_retry_after_us)
+
     def _close(self, request: Request) -> None:
         """Nothing is owed any more; attempts still out are called off where that is permitted."""
         request.answered = True
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -410,3 +410,19 @@
         first += [] if first[seed:] else [4 * S]
     early = sum(1 for each in first if each < 1 * S)
     assert 3 < early < 80  # some within the first second, and by no means all
+
+
+@pytest.mark.parametrize("advised", [True, False])
+def test_refused_clients_are_told_at_once_when_to_come_back_where_settings_allow_it(advised: bool) -> None:
+    # Guards against clients that ask again at once and keep an overloaded fleet so.
+    stage = Stage(settings(limits={"retry_after": advised, "max_retry_after_us": 400 * MS}))
+    for _ in range(20):
+        stage.request()  # no server is known
+    refused = stage.said(Refuse)
+    assert len(refused) == 20 and stage.now == START  # none is held
+    waits = {each.retry_after_us for each in refused}
+    if advised:
+        assert len(waits) > 10  # they do not all come back together
+        assert min(waits) > 0 and max(waits) <= 400 * MS
+    else:
+        assert waits == {0}
