Count the time that a request lay unread as its client's

Cause: Request-Timeout runs from when the client sent the request, but was counted from when the sidecar read it. The socket knows when its last data came; that age is now taken off.

--- a/micadeck/frontend.py
+++ b/micadeck/frontend.py
@@ -8,6 +8,7 @@
 import re
 import select
 import socket
+import sys
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from itertools import islice, takewhile
@@ -22,6 +23,7 @@
 _ACCEPTS_AT_ONCE = 8  # so many connections are accepted before those over the limit are let go
 _YOUNG_S = 0.25  # a connection that waits for its request for longer goes before one at rest
 _LEFT = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # the other end is closed
+_LAST_DATA_RECEIVED = 52  # where struct tcp_info has how many milliseconds ago the last data came
 _LOOKS = 8  # connections at rest that are looked at for one to let go
 _WITHIN_S = 2.0  # to send a whole request, to read an answer, or to end what was refused unread
 _AT_REST_S = 60.0  # how long a connection is kept that nobody uses
@@ -273,6 +275,14 @@
         """
         return any(seen & _LEFT for _, seen in self._poll.poll(0))
 
+    def _waited_us(self) -> int:
+        """How long the last byte lay in the socket before it was read, to some milliseconds."""
+        assert self._transport is not None
+        info = self._transport.get_extra_info("socket").getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, _LAST_DATA_RECEIVED + 4
+        )
+        return int.from_bytes(info[_LAST_DATA_RECEIVED:], sys.byteorder) * 1_000
+
     def _gone(self) -> None:
         owed, self._owed = self._owed, None
         if owed is not None:
@@ -327,6 +337,8 @@
         except BadRequest as fault:
             self._reject(400, f"{fault}\n".encode())
             return
+        # The client's time runs from when it sent the request, not from when that was read.
+        incoming.remaining_us = max(incoming.remaining_us - self._waited_us(), 1)
         self._owed = self._frontend.arrived(self, incoming)
 
     def _reject(self, status: int, why: bytes = b"") -> None:
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import socket
+import time
 
 import pytest
 from loopback import HOST, OK, Heard, play, request, soon, stage, until
@@ -186,6 +187,20 @@
     play(work)
 
 
+def test_the_time_a_request_lay_unread_is_taken_from_its_client_s() -> None:
+    # Guards against answers that come when the client has given up, after the event loop was held up.
+    async def work() -> None:
+        async with stage(OK) as scene:
+            client = await scene.client()
+            assert (await client.ask()).status == 200
+            client.send(request("check", timeout="1.0"))
+            time.sleep(0.4)  # the event loop is held up: it reads the request only then
+            assert (await client.answer()).status == 200
+            assert float(scene.heard[1].headers["request-timeout"]) <= 0.61
+
+    play(work)
+
+
 def test_more_than_max_open_is_refused_at_once() -> None:
     async def work() -> None:
         release = asyncio.Event()
