--- a/micadeck/client.py
+++ b/micadeck/client.py
@@ -34,6 +34,15 @@
     return host.strip("[]"), number
 
 
+def is_framed_ambiguously(head: h11.Request | h11.Response) -> bool:
+    """Whether readers may differ on where the body ends: what one takes for body is a message to another.
+
+    RFC 9112, 6.1: a transfer coding beside a length, or in HTTP/1.0.
+    """
+    names = {name for name, _ in head.headers}
+    return b"transfer-encoding" in names and (b"content-length" in names or head.http_version < b"1.1")
+
+
 @dataclass(slots=True)
 class Message:
     """A request to write."""
@@ -169,6 +178,9 @@
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     return
                 if isinstance(event, h11.Response):
+                    if is_framed_ambiguously(event):
+                        self._fail(Failure.GARBLED)
+                        return
                     self._head = event
                 elif isinstance(event, h11.Data):
                     self._body += event.data
--- a/micadeck/frontend.py
+++ b/micadeck/frontend.py
@@ -16,7 +16,7 @@
 import h11
 
 from magpiemux.interface import Repeat, ServiceClass, Settings
-from micadeck.client import Address, Headers, Message
+from micadeck.client import Address, Headers, Message, is_framed_ambiguously
 
 MOST_BODY = 64 << 10
 _BACKLOG = 1_024
@@ -140,15 +140,6 @@
     return int.from_bytes(hashlib.blake2b(last, digest_size=6).digest(), "big") if last else None
 
 
-def _is_framed_ambiguously(request: h11.Request) -> bool:
-    """Whether readers may differ on where the body ends: what one takes for body is a request to another.
-
-    RFC 9112, 6.1: a transfer coding beside a length, or from a client that speaks HTTP/1.0.
-    """
-    names = {name for name, _ in request.headers}
-    return b"transfer-encoding" in names and (b"content-length" in names or request.http_version < b"1.1")
-
-
 class ClientSide(asyncio.Protocol):
     """One connection of the application, one request at a time."""
 
@@ -306,7 +297,7 @@
             if isinstance(event, h11.Request):
                 self._request = event
                 length = next((value for name, value in event.headers if name == b"content-length"), b"0")
-                if _is_framed_ambiguously(event):
+                if is_framed_ambiguously(event):
                     self._reject(400)
                 elif int(length) > MOST_BODY:
                     self._reject(413)
