Let ejected servers that left make room for others to be ejected

Cause: an ejected server that left the list went on counting towards the share that may be ejected. After a release that replaced two of them, a failing server could no longer be ejected and kept drawing work. Found by checking the ejection against the list's events.

Ruled out: that a later listing cleared it (ids are new with each machine).

--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -376,6 +376,8 @@
         heard, server.state = server.state is not state, state
         if heard:
             self._close_if_leaving(server)
+        if state is ServerState.GONE and server.ejected_until is not None:
+            self._let_back(server)  # it no longer counts among those that may be ejected
 
     def _close_if_leaving(self, server: Server) -> None:
         """Close idle connections to a server that drains or is gone, where a rule asks for it.
@@ -990,6 +992,8 @@
                     self._turned_cold(server, self._now)
 
     def _eject(self, server: Server, reason: str, most: float = EJECTED_MOST) -> None:
+        if server.state is ServerState.GONE:
+            return
         if server.ejected_until is None:
             if len(self._ejected) + 1 > most * min(len(self._ready), self._reach()):
                 return
@@ -1004,10 +1008,13 @@
         """The time after about so many of the longest aim; by chance, so that balancers spread out."""
         return self._now + int(aims * self._longest_aim * (0.75 + 0.5 * self._random.random()))
 
-    def _readmit(self, server: Server) -> None:
+    def _let_back(self, server: Server) -> None:
         server.ejected_until = None
         self._ejected.remove(server)
         self._stuck -= server.in_flight
+
+    def _readmit(self, server: Server) -> None:
+        self._let_back(server)
         server.ejections = 0
         server.strikes = 0
         if server.cold_since is not None and server.cold_since != server.started_at:
--- a/tests/test_draw.py
+++ b/tests/test_draw.py
@@ -307,6 +307,20 @@
     assert 0 < traffic(200) < 30  # an even share is 50
 
 
+def test_ejected_servers_that_left_make_room_for_others_to_be_ejected() -> None:
+    # Guards against a deploy that replaces failing servers: the next one to fail could not be ejected.
+    stage = Stage()
+    for generation in range(6):
+        listed = [f"10.0.{generation}.{number}:80" for number in range(1, 5)]
+        stage.servers(listed)
+        for _ in range(4):
+            requests = [stage.request("pay") for _ in range(8)]  # two for each server
+            stage.wait(50 * MS)
+            for each in requests:
+                stage.end(each, Outcome.ERROR if stage.target(each) == listed[0] else Outcome.DELIVERED)
+        assert any(each.text.startswith(f"ejected {listed[0]}") for each in stage.said(Log)), generation
+
+
 def test_a_restarted_process_is_readmitted_as_a_cold_server() -> None:
     stage = Stage()
     hung, _ = _with_one_hung(stage, 20)
