Clip how far one answer moves the typical one, so that late servers don't shut the window

The windows shut on attempts that ran late at 22 servers just back and cold, before the list told of their start.

At fault: the unbounded ratio in _feel, where a late answer weighed as much as five usual ones, times the longer steps of small sidecars.

--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -98,6 +98,7 @@
 FLOOR_CREEP = 0.0008  # the idle time may rise by this part of the aim at each answer
 FLOOR_CREEP_PRESSED = 0.00008  # and hardly while refusing
 FLOOR_LEAST = 0.04  # part of the aim below which idle times are not told apart
+TYPICAL_CLIP = 2.0  # one answer counts for at most this many typical ones, or for that part of one
 TYPICAL_STEP = 0.06  # the typical answer is the geometric mean of the last fifteen or so
 SPENT_LEAST = 0.02  # of the aim; what is quicker tells nothing more
 LOST_SPENT = 2.0  # what a request lost to full or overdue counts as, in aims: late by far
@@ -436,14 +437,14 @@
     def _feel(self, spent: float) -> None:
         """Follow how much of its aim the typical answer takes, and size the window by it.
 
-        A geometric mean: one heavy request or slow server moves it little; the further the usual is from
-        the level, the more evidence it takes.  Guards small balancers, whose few answers are mostly chance.
+        A geometric mean with each step clipped: where a third of the servers is sick, their answers, however
+        late, do not outweigh the others.  Guards small balancers, whose few answers are mostly chance.
         """
         if self._floor is None:
             self._spent = self._floor = min(spent, AIM_SPENT)
         stretch = self._stretch()
         before = max(self._spent, SPENT_LEAST)
-        ratio = max(min(spent, LOST_SPENT), SPENT_LEAST) / before
+        ratio = min(max(spent / before, 1.0 / TYPICAL_CLIP), TYPICAL_CLIP)
         self._spent = min(before * math.pow(ratio, stretch * TYPICAL_STEP), SPENT_MOST)
         self._late += stretch * LATE_STEP * ((1.0 if spent > 1.0 else 0.0) - self._late)
         load = self._load()
--- a/tests/test_draw.py
+++ b/tests/test_draw.py
@@ -542,6 +542,26 @@
     assert refused < 0.01 * 4 * 300
 
 
+def test_a_third_of_the_servers_answering_late_is_not_taken_for_overload() -> None:
+    refused = 0
+    for seed in range(8):
+        stage = Stage(seed=seed)
+        stage.servers(names(60))
+        slow = set(names(60)[::3])  # a zone that came back cold, say
+        due: list[tuple[int, int]] = []
+        for _ in range(120):
+            stage.wait(20 * MS)
+            request = stage.request("pay")
+            if stage.sends(request):
+                took = 800 * MS if stage.target(request) in slow else 100 * MS
+                due.append((stage.now + took, request))
+            for end in sorted(each for each in due if each[0] <= stage.now):
+                due.remove(end)
+                stage.end(end[1])
+        refused += len(stage.said(Refuse))
+    assert refused < 0.02 * 8 * 120
+
+
 def _small_crossings(price: float, taking_us: int) -> float:
     """The part of a small balancer's requests that leaves its zone; one server in four is in it."""
     far = 0
