Let a small balancer eject more dead servers than it draws from

For what answers late the bound stays: there the rest would drown. Where no connection can be made it is the list's.

At fault: the bound by _reach in _eject.

--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -1001,7 +1001,10 @@
         if server.state is ServerState.GONE:
             return
         if server.ejected_until is None:
-            if len(self._ejected) + 1 > most * min(len(self._ready), self._reach()):
+            # What can't be connected to makes way for others further on in the list; the slow are spared.
+            dead = reason == Outcome.DIAL_FAILED.value
+            known = len(self._ready) if dead else min(len(self._ready), self._reach())
+            if len(self._ejected) + 1 > most * known:
                 return
             self._ejected.append(server)
             self._stuck += server.in_flight
--- a/tests/test_draw.py
+++ b/tests/test_draw.py
@@ -679,3 +679,30 @@
         assert len(stage.sends(request)) == 2
         stage.end(request)
     assert stage.said(Refuse) == []
+
+
+def _serve_among_dead(stage: Stage, dead: set[str], count: int) -> int:
+    """Singly served requests; nobody is at the dead servers.  Returns how many attempts went to them."""
+    before = len(stage.sends())
+    for _ in range(count):
+        stage.wait(200 * MS)
+        request = stage.request()
+        while stage.sends(request) and stage.target(request) in dead:
+            sent = len(stage.sends(request))
+            stage.wait(2 * MS)
+            stage.end(request, Outcome.DIAL_FAILED)
+            if len(stage.sends(request)) == sent:
+                break  # given up on
+        else:
+            stage.wait(40 * MS)
+            stage.end(request)
+    return sum(each.server in dead for _, each in stage.sends()[before:])
+
+
+def test_a_small_balancer_ejects_more_dead_servers_than_it_draws_from() -> None:
+    stage = Stage()
+    stage.servers(names(60))
+    dead = set(names(60)[::2])
+    _serve_among_dead(stage, dead, 100)
+    ejected = [each.text for each in stage.said(Log) if each.text.startswith("ejected")]
+    assert len(ejected) > 4  # what a balancer at rest draws from
