Bound the failed trials of ejected servers by traffic

A tenth of the requests may be spent on trials that fail; one that is answered costs nothing. At fault: _trial_due, which looked at each ejected server by itself.

--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -59,6 +59,8 @@
 RETRY_AIMS = 0.6  # of its aim: about how long a refused client is told to stay away
 EXTRA_PER_REQUEST = 0.2  # further attempts after failures, for each first attempt: no retry storms
 EXTRA_SAVED = 50.0  # first attempts whose allowance may be saved up
+TRIALS_PER_REQUEST = 0.1  # trials that fail, for each request: many servers lost must not take all traffic
+TRIALS_SAVED = 4.0  # that may be saved up
 STRIKES = 2  # failures in a row, none answered between, that eject a server
 EJECT_AIMS = 2.0  # first ejection lasts this many of the longest aim; it doubles with each failed trial
 EJECT_AIMS_MOST = 16.0  # and never lasts longer: a server that came back is found again
@@ -267,6 +269,7 @@
         self._bearable_at = -1
         self._answers = 0  # answers so far, from all servers
         self._extra = EXTRA_PER_REQUEST * EXTRA_SAVED / 2
+        self._trials = TRIALS_SAVED
         self._mean_cost: dict[str, float] = {}
         self._arrivals = Rate(RATE_SPANS * settings.rules.fall_us)
         self._served_warm = Rate(RATE_SPANS * settings.rules.fall_us)
@@ -398,6 +401,7 @@
             kind = ServiceClass(event.service_class, max(event.remaining_us, 1), max(event.remaining_us, 1))
         self._arrivals.add(self._now, 1.0)
         self._extra = min(self._extra + EXTRA_PER_REQUEST, EXTRA_PER_REQUEST * EXTRA_SAVED)
+        self._trials = min(self._trials + TRIALS_PER_REQUEST, TRIALS_SAVED)
         answer_by = self._now + event.remaining_us - TICKS_EARLY * self._settings.tick_us
         request = Request(event.request, kind, answer_by, self._relative_cost(kind, event.cost_us))
         self._requests[event.request] = request
@@ -736,6 +740,7 @@
         self._sent.add(self._now, 1.0)
         if server.ejected_until is not None:
             server.trial = attempt
+            self._trials -= 1.0
             self._stuck += 1
         self._schedule(self._now + self._patience(request, server), request.ident, attempt.index)
         self._actions.append(Send(request.ident, server.name, request.answer_by))
@@ -1024,6 +1029,7 @@
 
     def _readmit(self, server: Server) -> None:
         self._let_back(server)
+        self._trials = min(self._trials + 1.0, TRIALS_SAVED)  # its trial was not in vain
         server.ejections = 0
         server.strikes = 0
         if server.cold_since is not None and server.cold_since != server.started_at:
@@ -1031,8 +1037,12 @@
         self._actions.append(Log(f"readmitted {server.name}"))
 
     def _trial_due(self, request: Request) -> Server | None:
-        """An ejected server comes back by one trial at a time, with a request that may be repeated."""
-        if request.kind.repeat is not Repeat.SAFE or request.attempts:
+        """An ejected server comes back by one trial at a time, with a request that may be repeated.
+
+        All ejected ones together get a part of the traffic: with a zone lost, a trial for each would take
+        most requests of a small balancer.
+        """
+        if request.kind.repeat is not Repeat.SAFE or request.attempts or self._trials < 1.0:
             return None
         for server in self._ejected:
             waited = server.ejected_until is not None and self._now >= server.ejected_until
--- a/tests/test_draw.py
+++ b/tests/test_draw.py
@@ -706,3 +706,16 @@
     _serve_among_dead(stage, dead, 100)
     ejected = [each.text for each in stage.said(Log) if each.text.startswith("ejected")]
     assert len(ejected) > 4  # what a balancer at rest draws from
+
+
+def test_trials_of_many_lost_servers_take_a_small_part_of_the_traffic() -> None:
+    stage = Stage()
+    stage.servers(names(60))
+    lost = set(names(60)[::2])
+    for name in sorted(lost):
+        stage.balancer._eject(stage.balancer._servers[name], "dial_failed")
+    stage.wait(20 * S)  # all have waited long enough
+    assert _serve_among_dead(stage, lost, 100) <= 0.1 * 100 + 4
+    _serve_among_dead(stage, set(), 100)  # they are back: a trial that is answered costs nothing
+    found = [each.text for each in stage.said(Log) if each.text.startswith("readmitted")]
+    assert len(found) == len(lost)
