Repeat failed calls to discovery the later, the larger the tier

Ruled out: watches holding discovery's places (with waits of 1.5 s in place of 20 those in went on, no other got in); an overload from outside (with a first wait of 4 s most calls were answered, 42 failed in place of 253).

At fault: _ask_again_later, 0.25 to 2.5 s whatever the number of sidecars. Now a hundredth of the time allowed without asking for each sidecar of the tier, doubling once, at most 0.8 of it; up to 5 sidecars nothing changes.

--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -52,6 +52,8 @@
 COLD_BURST = 0.18  # part of that load that may come at once
 RATE_SPANS = 2.0  # rates are averaged over this many fall times
 ASK_AGAIN = 0.05  # first wait before asking discovery again, of the time allowed without asking
+ASK_AGAIN_EACH = 0.01  # or this for each balancer of the tier, where that is more
+ASK_AGAIN_LONGEST = 0.8  # the longest in a large tier: after a failed call four times the time is allowed
 ASK_AGAIN_MOST = 0.25  # and the longest: three failed calls in a row still fit
 REMOTE_LEAST = 0.25  # odds of a server in another zone while the own zone is as quick
 REMOTE_EVEN = 0.3  # the own zone this far behind the others' pace, all zones are drawn alike
@@ -331,9 +333,15 @@
         self._schedule(self._ask_due, _ASK, _WHOLE)
 
     def _ask_again_later(self) -> None:
-        """After a failed call: wait twice as long each time, with jitter, so that instances spread out."""
+        """After a failed call: wait twice as long each time, with jitter, so that instances spread out.
+
+        The larger the tier, the longer: all of it calls one service, and calls that wait in vain fill its
+        queue, so that nobody gets through.
+        """
         allowed = self._settings.rules.ask_within_us
-        wait = min(ASK_AGAIN * allowed * 2**self._failed_calls, ASK_AGAIN_MOST * allowed)
+        first = max(ASK_AGAIN, ASK_AGAIN_EACH * self._settings.group_size)
+        most = max(ASK_AGAIN_MOST, min(2.0 * first, ASK_AGAIN_LONGEST))
+        wait = min(first * 2**self._failed_calls, most) * allowed
         self._failed_calls = min(self._failed_calls + 1, 8)
         self._ask_in(wait * (0.5 + 0.5 * self._random.random()))
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -214,6 +214,27 @@
     assert waits[-1] > 2 * waits[0]
 
 
+def _calls_of_a_tier(group_size: int) -> list[int]:
+    """How often each balancer of the tier asks in 20 s, when every call fails."""
+    calls = []
+    for seed in range(group_size):
+        stage = Stage(settings(group_size=group_size), seed=seed)
+        stage.servers(names(2), ListKind.REMEMBERED)
+        while stage.now < START + 20 * S:
+            count = len(stage.said(Follow))
+            stage.play(ServersListed(ListKind.FAILED))
+            while len(stage.said(Follow)) == count:
+                stage.wait(20 * MS)
+        calls.append(len(stage.said(Follow)))
+    return calls
+
+
+def test_failed_calls_of_a_large_tier_do_not_add_up() -> None:
+    small, large = _calls_of_a_tier(5), _calls_of_a_tier(40)
+    assert min(large) >= 3
+    assert sum(large) < 5 * sum(small)  # of eight times as many balancers
+
+
 def test_a_call_that_is_never_answered_is_made_again_in_time() -> None:
     stage = Stage()
     stage.servers(names(2), ListKind.REMEMBERED)
