Open a door for operators: console with readiness and the figures

Design. console.py speaks HTTP by h11 on the address `console` or $BALANCER_CONSOLE, one call to a connection, 16 callers at most with descriptors of their own; each is cut off after 2 s, and one more pushes out the one there for longest. telemetry.py raises each counter in one place: the final answer, and an attempt handed to the system whole.

Not taken: a thread of its own for the door, so that it answers however busy the loop is. The figures and the later calls touch what the loop owns, so each would need a hand-over to the loop all the same; a call needs three rounds of it, and a round is bounded by the connections that clients may hold.

--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -315,6 +315,14 @@
         self._arm_timer()
         return self._actions
 
+    def members(self) -> tuple[int, int]:
+        """How many servers are listed, and how many of these get no ordinary request now."""
+        listed = [each for each in self._servers.values() if each.state is not ServerState.GONE]
+        unavailable = sum(
+            each.state is not ServerState.READY or each.ejected_until is not None for each in listed
+        )
+        return len(listed), unavailable
+
     # -----------------------------------------------------------------------------------------------
     # The server list
 
--- a/micadeck/client.py
+++ b/micadeck/client.py
@@ -96,6 +96,7 @@
         self._head: h11.Response | None = None
         self._body = bytearray()
         self._unwritten = False
+        self._on_written: Callable[[], None] | None = None  # to be told when all is written
         self._closed = False
 
     # What the owner calls
@@ -110,8 +111,11 @@
             return False
         return not self._poll.poll(0)
 
-    def exchange(self, message: Message, ended: Ended) -> None:
-        """Write a request; `ended` is called exactly once, but never from within this call."""
+    def exchange(self, message: Message, ended: Ended, on_written: Callable[[], None] | None = None) -> None:
+        """Write a request; `ended` is called exactly once, but never from within this call.
+
+        `on_written` is called at most once, when the last byte was handed to the system.
+        """
         assert self._transport is not None and self._ended is None
         self._ended = ended
         self._head = None
@@ -120,9 +124,12 @@
         head = send(h11.Request(method=message.method, target=message.target, headers=message.headers))
         body = send(h11.Data(data=message.body)) if message.body else b""
         send(h11.EndOfMessage())
+        self._on_written = on_written
         self._transport.write((head or b"") + (body or b""))
         if self._transport.is_closing():
             self._unwritten = True  # the write failed at once; connection_lost follows
+        if not self._unwritten:
+            self._written()
 
     def close(self) -> None:
         """Give the connection up.  An exchange under way is dropped without a word.
@@ -153,6 +160,7 @@
 
     def resume_writing(self) -> None:
         self._unwritten = False
+        self._written()
 
     def data_received(self, data: bytes) -> None:
         if self._ended is None:
@@ -196,6 +204,11 @@
             if data:  # without, it is the end that came too early
                 self._fail(Failure.GARBLED)
 
+    def _written(self) -> None:
+        told, self._on_written = self._on_written, None
+        if told is not None:
+            told()
+
     def _answered(self) -> None:
         assert self._head is not None
         response = Response(self._head.status_code, list(self._head.headers), bytes(self._body))
--- a/micadeck/config.py
+++ b/micadeck/config.py
@@ -34,6 +34,7 @@
     peer_listen: Address | None
     peers: tuple[Address, ...]
     peers_all: Address | None
+    console: Address | None  # None: there is no door for operators
 
 
 def load(environ: Mapping[str, str]) -> Config:
@@ -52,6 +53,9 @@
         for key in ("name", "listen", "discovery")
         if f"BALANCER_{key.upper()}" in environ
     }
+    if environ.get("BALANCER_CONSOLE"):
+        # At an upgrade two processes may share the file, but not this address: the environment is its own.
+        given = {**given, "console": environ["BALANCER_CONSOLE"]}
     return parse({**from_environment, **given})
 
 
@@ -81,6 +85,7 @@
         peer_listen=_optional_address("peer_listen", given.get("peer_listen")),
         peers=tuple(_address(f"peers[{index}]", each) for index, each in enumerate(peers)),
         peers_all=_optional_address("peers_all", given.get("peers_all")),
+        console=_optional_address("console", given.get("console")),
     )
 
 
--- /dev/null
+++ b/micadeck/console.py
@@ -0,0 +1,189 @@
+"""The operators' door: HTTP on an address of its own, one call to a connection.
+
+A caller that is slow, silent or talks nonsense gets an error or a close, and holds up nobody: they are few,
+each has a bounded time, and where one more comes the one that is there for longest goes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import h11
+
+from micadeck.client import Address, is_framed_ambiguously
+
+MOST_CALLERS = 16  # connections at once; each takes a descriptor
+_MOST_BODY = 4 << 10
+_WITHIN_S = 2.0  # to send a whole call and to read its answer; an honest caller waits for one second
+_JSON = (b"content-type", b"application/json")
+
+
+class Operated(Protocol):
+    """What the calls are carried out on."""
+
+    def is_ready(self) -> bool: ...
+
+    def figures(self) -> dict[str, object]: ...
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """An answer: 2xx is yes, the rest no."""
+
+    status: int
+    content: dict[str, object] = field(default_factory=dict)
+    allow: bytes | None = None
+
+
+def _yes_if(agreed: bool, status: int, why: str) -> Reply:
+    return Reply(200, {"ok": True}) if agreed else Reply(status, {"error": why})
+
+
+class Calls:
+    """The calls by path and method."""
+
+    def __init__(self, operated: Operated) -> None:
+        own = operated
+        self._table: dict[bytes, tuple[bytes, Callable[[bytes], Reply]]] = {
+            b"/api/ready": (b"GET", lambda _: _yes_if(own.is_ready(), 503, "it takes no clients now")),
+            b"/api/telemetry": (b"GET", lambda _: Reply(200, own.figures())),
+        }
+
+    def refusal(self, request: h11.Request) -> Reply | None:
+        """What is wrong with a call by its head alone."""
+        found = self._table.get(request.target.partition(b"?")[0])
+        if is_framed_ambiguously(request):
+            return Reply(400, {"error": "the length of the body is unclear"})
+        if found is None:
+            return Reply(404, {"error": "there is no such call"})
+        if request.method != found[0]:
+            return Reply(405, {"error": f"the method is {found[0].decode()}"}, found[0])
+        return None
+
+    def carry_out(self, request: h11.Request, body: bytes) -> Reply:
+        _, act = self._table[request.target.partition(b"?")[0]]
+        return act(body)
+
+
+class _Caller(asyncio.Protocol):
+    """One connection, one call."""
+
+    def __init__(self, console: Console) -> None:
+        self._console = console
+        self._http = h11.Connection(h11.SERVER)
+        self._transport: asyncio.Transport | None = None
+        self._request: h11.Request | None = None
+        self._body = bytearray()
+        self._answered = False
+        self._deadline: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._deadline = asyncio.get_running_loop().call_later(_WITHIN_S, self._overdue)
+        self._console.opened(self)
+
+    def data_received(self, data: bytes) -> None:
+        if self._answered:
+            return
+        self._http.receive_data(data)
+        try:
+            self._read_on()
+        except h11.RemoteProtocolError as fault:
+            self._answer(Reply(fault.error_status_hint, {"error": "this is no HTTP/1.1"}))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._answered = True
+        if self._deadline is not None:
+            self._deadline.cancel()
+        self._console.closed(self)
+
+    def abort(self) -> None:
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _overdue(self) -> None:
+        if self._answered or self._request is None:
+            self.abort()
+        else:
+            self._answer(Reply(408, {"error": "the call was not sent in time"}))
+
+    def _read_on(self) -> None:
+        while not self._answered:
+            event = self._http.next_event()
+            if isinstance(event, h11.Request):
+                self._request = event
+                refusal = self._console.calls.refusal(event)
+                if refusal is not None:
+                    self._answer(refusal)
+                elif self._http.they_are_waiting_for_100_continue:
+                    self._write(self._http.send(h11.InformationalResponse(status_code=100, headers=[])))
+            elif isinstance(event, h11.Data):
+                self._body += event.data
+                if len(self._body) > _MOST_BODY:
+                    self._answer(Reply(413, {"error": "the body is too long"}))
+            elif isinstance(event, h11.EndOfMessage):
+                assert self._request is not None
+                self._answer(self._console.calls.carry_out(self._request, bytes(self._body)))
+            else:  # nothing more has come, or nothing more will
+                return
+
+    def _answer(self, reply: Reply) -> None:
+        self._answered = True
+        content = json.dumps(reply.content).encode()
+        headers = [_JSON, (b"content-length", b"%d" % len(content)), (b"connection", b"close")]
+        if reply.allow is not None:
+            headers.append((b"allow", reply.allow))
+        try:
+            self._write(self._http.send(h11.Response(status_code=reply.status, headers=headers)))
+            if self._request is None or self._request.method != b"HEAD":
+                self._write(self._http.send(h11.Data(data=content)))
+            self._write(self._http.send(h11.EndOfMessage()))
+        except h11.LocalProtocolError:
+            self.abort()  # the caller left no room for an answer
+        if self._transport is not None:
+            self._transport.close()  # and if the answer is not read, the deadline cuts it
+
+    def _write(self, data: bytes | None) -> None:
+        if data and self._transport is not None:
+            self._transport.write(data)
+
+
+class Console:
+    """All callers, `MOST_CALLERS` at most."""
+
+    def __init__(self, operated: Operated) -> None:
+        self.calls = Calls(operated)
+        self._callers: dict[_Caller, None] = {}  # the longest there first
+        self._server: asyncio.Server | None = None
+
+    async def listen(self, address: Address) -> None:
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _Caller(self), *address, backlog=MOST_CALLERS, reuse_address=True
+        )
+
+    @property
+    def port(self) -> int:
+        assert self._server is not None
+        return int(self._server.sockets[0].getsockname()[1])
+
+    def close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        for each in list(self._callers):
+            each.abort()
+
+    def opened(self, caller: _Caller) -> None:
+        if len(self._callers) >= MOST_CALLERS:
+            oldest = next(iter(self._callers))
+            del self._callers[oldest]
+            oldest.abort()
+        self._callers[caller] = None
+
+    def closed(self, caller: _Caller) -> None:
+        self._callers.pop(caller, None)
--- a/micadeck/frontend.py
+++ b/micadeck/frontend.py
@@ -393,6 +393,10 @@
         assert self._server is not None
         return int(self._server.sockets[0].getsockname()[1])
 
+    @property
+    def takes_clients(self) -> bool:
+        return self._server is not None and self._server.is_serving() and not self.is_draining
+
     def read(self, event: h11.Request, body: bytes) -> Incoming:
         return read_request(event, body, self._settings, self._classes)
 
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -41,11 +41,13 @@
 from micadeck.client import Address, Headers, Message, Response
 from micadeck.clock import Clock
 from micadeck.config import Config
+from micadeck.console import MOST_CALLERS, Console
 from micadeck.frontend import ClientSide, Frontend, Incoming
 from micadeck.peers import Peers
+from micadeck.telemetry import Telemetry
 from micadeck.upstream import Call, Upstream, load_report
 
-_RESERVED = 48  # descriptors for everything but clients and servers
+_RESERVED = 48  # descriptors for everything but clients, servers and the operators' door
 _FOR_CLIENTS = 1 / 3  # of all, as the platform's terms allow at the most
 _FOR_CLIENTS_LEFT = 0.5  # and of what is not reserved, where that is less
 _PROBE_WITHIN_US = 1_000_000
@@ -84,10 +86,13 @@
         self._owed = 0  # requests without their final answer
         self._next_request = 1
         self._stop_by: int | None = None  # when all must be answered, once it drains
-        room = config.sockets - _RESERVED
+        self._telemetry = Telemetry(each.name for each in config.settings.classes)
+        self.console = None if config.console is None else Console(self)
+        room = config.sockets - _RESERVED - (MOST_CALLERS if self.console else 0)
         for_clients = int(min(config.sockets * _FOR_CLIENTS, room * _FOR_CLIENTS_LEFT))
         self.frontend = Frontend(config.settings, for_clients, self._arrived, self._gone)
-        self._upstream = Upstream(self._clock, config.settings.limits, room - for_clients)
+        limits, written = config.settings.limits, self._telemetry.attempted
+        self._upstream = Upstream(self._clock, limits, room - for_clients, written)
         self._discovery = discovery.Discovery(
             config.discovery,
             config.known.version,
@@ -106,6 +111,8 @@
         """Take up the last known list, then listen."""
         if self._settings.limits.may_message and self._config.peer_listen is not None:
             await self._peers.listen(self._config.peer_listen)
+        if self.console is not None and self._config.console is not None:
+            await self.console.listen(self._config.console)
         self._upstream.listed(self._config.known)
         self._post(self._config.known.event(ListKind.REMEMBERED))
         self._discovery.start()
@@ -142,11 +149,23 @@
         self.close()
 
     def close(self) -> None:
+        if self.console is not None:
+            self.console.close()
         self._discovery.close()
         self._peers.close()
         self._upstream.close()
         self.frontend.stop_listening()
 
+    # What operators ask for
+
+    def is_ready(self) -> bool:
+        """Whether this process takes clients."""
+        return self.frontend.takes_clients
+
+    def figures(self) -> dict[str, object]:
+        members, unavailable = self._balancer.members()
+        return self._telemetry.figures(self._owed, members, unavailable)
+
     # Events
 
     def _post(self, event: Event) -> None:
@@ -182,9 +201,6 @@
 
     def _arrived(self, client: ClientSide, incoming: Incoming) -> int | None:
         most = self._settings.limits.max_open
-        if most is not None and self._owed >= most:
-            client.answer(503, [], b"")
-            return None
         now = self._clock.now()
         if self._stop_by is not None:
             incoming.remaining_us = max(min(incoming.remaining_us, self._stop_by - now), 1)
@@ -192,6 +208,9 @@
         self._next_request += 1
         self._open[number] = _Open(client, incoming)
         self._owed += 1
+        if most is not None and self._owed > most:
+            self._answer(number, 503, [])
+            return None
         self._post(
             RequestArrived(
                 request=number,
@@ -312,6 +331,7 @@
     def _answer(self, request: int, status: int, headers: Headers, body: bytes = b"") -> None:
         client = self._settle(request)
         if client is not None:
+            self._telemetry.answered(self._open[request].incoming.service_class, status)
             client.answer(status, headers, body)
         self._forget_if_over(request)
 
--- a/micadeck/upstream.py
+++ b/micadeck/upstream.py
@@ -56,8 +56,9 @@
 class Upstream:
     """All connections to servers, `most` at once."""
 
-    def __init__(self, clock: Clock, limits: Limits, most: int) -> None:
+    def __init__(self, clock: Clock, limits: Limits, most: int, on_written: Callable[[], None]) -> None:
         self._clock = clock
+        self._on_written = on_written  # a request's last byte left for a server
         self._dial_within_s = limits.dial_timeout_us / 1e6
         self._use_within_us = int(limits.idle_close_us * (1.0 - _IDLE_MARGIN))
         self._most = most
@@ -160,7 +161,7 @@
             self._end(call, _outcome(how), how if isinstance(how, Response) else None)
 
         call.connection = connection
-        connection.exchange(call.message(max(call.until - self._clock.now(), 1_000)), ended)
+        connection.exchange(call.message(max(call.until - self._clock.now(), 1_000)), ended, self._on_written)
 
     # Connections
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -231,6 +231,27 @@
     async def ask(self, kind: str = "check", **how: Any) -> Answer:
         return await (await self.client()).ask(kind, **how)
 
+    async def operator(self) -> Client:
+        """A connection to the operators' door."""
+        assert self.sidecar.console is not None
+        client = Client(*await asyncio.open_connection(HOST, self.sidecar.console.port))
+        self.clients.append(client)
+        return client
+
+    async def call(self, method: str, path: str, body: bytes = b"") -> tuple[int, Any]:
+        """One call of the operators, read to the end of its connection."""
+        caller = await self.operator()
+        length = f"Content-Length: {len(body)}\r\n" if body else ""
+        caller.send(f"{method} {path} HTTP/1.1\r\nHost: console\r\n{length}\r\n".encode() + body)
+        answer = await caller.answer()
+        assert await soon(caller.reader.read()) == b""
+        return answer.status, json.loads(answer.body) if answer.body else None
+
+    async def figures(self) -> Any:
+        status, figures = await self.call("GET", "/api/telemetry")
+        assert status == 200
+        return figures
+
     @property
     def heard(self) -> list[Heard]:
         return [each for server in self.servers for each in server.heard]
@@ -242,6 +263,7 @@
     bounds: dict[str, Any] | None = None,
     given: dict[str, Any] | None = None,
     listed: bool = True,
+    console: bool = False,
     **settings: Any,
 ) -> AsyncIterator[Stage]:
     """A sidecar, its discovery and one server for each script, all known to it from the start."""
@@ -266,6 +288,7 @@
             "bounds": {**limits, **(bounds or {})},
             **settings,
         },
+        **({"console": f"{HOST}:0"} if console else {}),
         **(given or {}),
     }
     log: list[str] = []
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -59,6 +59,7 @@
         ({**GOOD, "known": {"version": 1}}, "known: full"),
         ({**GOOD, "peers": ["nowhere"]}, "peers[0]"),
         ({**GOOD, "peer_listen": "x"}, "peer_listen"),
+        ({**GOOD, "console": "nowhere"}, "console"),
         (_without("settings"), "settings"),
         ({**GOOD, "settings": {"lanes": []}}, "settings.classes"),
         (
