Let operators take servers out and put them back, as events to the module

ServerExcluded and ServerIncluded reach the module, which holds a flag beside the state that the list gives: one property, `is_wanted`, asks both wherever a server is drawn, tried or sent to. The connections to it are told in the same call, so that a dial under way carries no request. A server given back gets a request after about four of the longest aim at the latest; cold is what the list says was restarted meanwhile.

Not taken: to strike excluded ids from the lists before the module hears them. Lists that arrive later, the state of ejected servers, trials and figures would each have needed the same filter, and the module could not tell a server that left from one that operators took out.

Tests fail without the flag in the gate, the trials or the forced return (seen for the last).

--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -33,6 +33,8 @@
     RequestArrived,
     RequestGone,
     Send,
+    ServerExcluded,
+    ServerIncluded,
     ServersListed,
     ServerState,
     ServiceClass,
@@ -68,6 +70,7 @@
 EJECT_AIMS_MOST = 16.0  # and never lasts longer: a server that came back is found again
 SILENT_MOST = 0.34  # no more than this share is ejected for silence alone: more is overload, not sickness
 EJECTED_MOST = 0.6  # never more than this share of the list is ejected: the rest would drown
+RETURN_AIMS = 4.0  # of the longest aim, after which a server that operators gave back gets a request
 SHY_AIMS = 0.5  # a class keeps off a server for so many of the longest aim after a full answer
 SHY_AIMS_MOST = 4.0  # and for twice as long at each further one in a row, up to this
 PATIENCE = 2.5  # usual times (at this server's pace) after which an attempt is overdue
@@ -126,6 +129,7 @@
         "cold_since",
         "ejected_until",
         "ejections",
+        "excluded",
         "ghosts",
         "idle_since",
         "in_flight",
@@ -150,6 +154,7 @@
         self.nominal = 1.0
         self.pace = 1.0  # how long it takes, relative to the usual
         self.state = ServerState.GONE
+        self.excluded = False  # by the operators, whatever the list says
         self.started_at: int | None = None
         self.cold_since: int | None = None
         self.allowance = 0.0  # of a cold server: what may be sent to it now, in requests of mean cost
@@ -164,6 +169,11 @@
         self.ejected_until: int | None = None  # None: not ejected
         self.trial: Attempt | None = None  # the single attempt that may bring it back
 
+    @property
+    def is_wanted(self) -> bool:
+        """Whether new work may go there, as far as the list and the operators are concerned."""
+        return self.state is ServerState.READY and not self.excluded
+
 
 class Shy:
     """A server's full answers to one class: it is kept off until then, for so many aims."""
@@ -248,6 +258,7 @@
         self._actions: list[Action] = []
         self._servers: dict[str, Server] = {}  # every server ever listed
         self._ready: list[Server] = []
+        self._returning: dict[Server, int] = {}  # included again and not used since: when each gets a request
         self._requests: dict[int, Request] = {}
         # Of each entry: due, order, request (or _ASK), attempt (or _WHOLE).
         self._agenda: list[tuple[int, int, int, int]] = []
@@ -310,6 +321,10 @@
                 self._request_gone(event)
             case AnswerStarted():
                 self._answer_started(event)
+            case ServerExcluded():
+                self._exclude(event.server)
+            case ServerIncluded():
+                self._include(event.server)
             case _:
                 pass  # probes and messages: none are sent, so none are awaited
         self._arm_timer()
@@ -318,11 +333,13 @@
     def members(self) -> tuple[int, int]:
         """How many servers are listed, and how many of these get no ordinary request now."""
         listed = [each for each in self._servers.values() if each.state is not ServerState.GONE]
-        unavailable = sum(
-            each.state is not ServerState.READY or each.ejected_until is not None for each in listed
-        )
+        unavailable = sum(not each.is_wanted or each.ejected_until is not None for each in listed)
         return len(listed), unavailable
 
+    def knows(self, server: str) -> bool:
+        """Whether a server was ever listed, or excluded."""
+        return server in self._servers
+
     # -----------------------------------------------------------------------------------------------
     # The server list
 
@@ -367,7 +384,11 @@
                     self._state_heard(server, ServerState.GONE)
         for line in event.servers:
             self._server_listed(line)
-        self._ready = [each for each in self._servers.values() if each.state is ServerState.READY]
+        self._take_stock()
+
+    def _take_stock(self) -> None:
+        """See anew which servers there are to draw from."""
+        self._ready = [each for each in self._servers.values() if each.is_wanted]
         self._ready.sort(key=lambda each: each.place)
         far = sum(each.zone != self._settings.zone for each in self._ready)
         self._far_part = far / max(len(self._ready), 1)
@@ -377,9 +398,7 @@
                 server.pace = mean_size / server.nominal if server.nominal > 0.0 else 1.0
 
     def _server_listed(self, line: ListedServer) -> None:
-        server = self._servers.get(line.server)
-        if server is None:
-            server = self._servers[line.server] = Server(line.server, self._random.random())
+        server = self._known(line.server)
         server.zone = line.zone
         server.cell = line.cell
         if server.state is ServerState.GONE or line.nominal != server.nominal:
@@ -392,6 +411,50 @@
             if server.ejected_until is not None and line.state is ServerState.READY:
                 self._readmit(server)  # a new process: what the old one did is history
 
+    def _known(self, name: str) -> Server:
+        server = self._servers.get(name)
+        if server is None:
+            server = self._servers[name] = Server(name, self._random.random())
+        return server
+
+    def _exclude(self, name: str) -> None:
+        """Treat a server as draining from now on, over every list; what it holds may end there."""
+        server = self._known(name)
+        if server.excluded:
+            return
+        server.excluded = True
+        self._returning.pop(server, None)
+        if server.ejected_until is not None:
+            self._let_back(server)  # it gets no trials, and counts no longer among those that may be ejected
+        self._close_if_leaving(server)
+        self._take_stock()
+        self._actions.append(Log(f"excluded {name}"))
+
+    def _include(self, name: str) -> None:
+        """Use a server again; what it did before it was out says little of it."""
+        server = self._servers.get(name)
+        if server is None or not server.excluded:
+            return
+        server.excluded = False
+        server.strikes = server.ejections = 0
+        server.pace = 0.0
+        self._returning[server] = self._after_about(RETURN_AIMS)
+        self._take_stock()
+        self._actions.append(Log(f"included {name}"))
+
+    def _returned(self, request: Request) -> Server | None:
+        """A server that the operators gave back and chance has not drawn since, when its time has come.
+
+        Guards small balancers, which might leave it unused for long, above all when it is cold: one request
+        says what it is good for.
+        """
+        for server, due in self._returning.items():
+            if due <= self._now and not request.attempts and server.is_wanted:
+                server.allowance = max(server.allowance, request.cost)
+                if server.ejected_until is None and self._cold_room(server, request.cost):
+                    return server
+        return None
+
     def _state_heard(self, server: Server, state: ServerState) -> None:
         heard, server.state = server.state is not state, state
         if heard:
@@ -404,7 +467,7 @@
 
         On hearing of it, and again whenever an attempt still out there ends and leaves its connection idle.
         """
-        if self._settings.rules.close_idle_within_us is not None and server.state is not ServerState.READY:
+        if self._settings.rules.close_idle_within_us is not None and not server.is_wanted:
             self._actions.append(CloseIdle(server.name))
 
     # -----------------------------------------------------------------------------------------------
@@ -590,7 +653,7 @@
 
     def _choose(self, request: Request) -> Server | None:
         """Best of k: of k random distinct servers, the one with the fewest own requests in flight."""
-        trial = self._trial_due(request)
+        trial = self._trial_due(request) or self._returned(request)
         if trial is not None:
             return trial
         pool = self._within_reach(request)
@@ -742,7 +805,7 @@
             return False  # rule 2
         if not self._may_run_again(request) or not self._in_group(request, server):
             return False  # rule 2
-        if server.state is not ServerState.READY:
+        if not server.is_wanted:
             return False  # rule 3: at once on hearing, without use of the grace
         if not self._cold_room(server, request.cost):
             return False  # rule 4
@@ -751,6 +814,7 @@
         attempt = Attempt(len(request.attempts), server, self._now, self._answers)
         attempt.idled = self._idle_time(server)
         request.attempts.append(attempt)
+        self._returning.pop(server, None)
         server.in_flight += 1
         self._pending += 1
         self._sent.add(self._now, 1.0)
@@ -1019,7 +1083,7 @@
                     self._turned_cold(server, self._now)
 
     def _eject(self, server: Server, reason: str, most: float = EJECTED_MOST) -> None:
-        if server.state is ServerState.GONE:
+        if server.state is ServerState.GONE or server.excluded:
             return
         if server.ejected_until is None:
             # What can't be connected to makes way for others further on in the list; the slow are spared.
--- a/magpiemux/interface.py
+++ b/magpiemux/interface.py
@@ -494,6 +494,20 @@
     report: Mapping[str, float] | None = None
 
 
+@dataclass(slots=True)
+class ServerExcluded:
+    """The operators want nothing more sent to a server, whatever is listed, until they include it again."""
+
+    server: str
+
+
+@dataclass(slots=True)
+class ServerIncluded:
+    """The operators want a server used again."""
+
+    server: str
+
+
 @dataclass(slots=True)
 class MessageReceived:
     """A message from another balancer of the tier."""
@@ -510,6 +524,8 @@
     | RequestGone
     | TimerFired
     | ProbeEnded
+    | ServerExcluded
+    | ServerIncluded
     | MessageReceived
 )
 
--- a/micadeck/console.py
+++ b/micadeck/console.py
@@ -29,6 +29,10 @@
 
     def figures(self) -> dict[str, object]: ...
 
+    def exclude(self, member: str) -> bool: ...
+
+    def include(self, member: str) -> bool: ...
+
 
 @dataclass(frozen=True, slots=True)
 class Reply:
@@ -39,10 +43,29 @@
     allow: bytes | None = None
 
 
+class BadCall(Exception):
+    """The call's body is not what it has to be."""
+
+
 def _yes_if(agreed: bool, status: int, why: str) -> Reply:
     return Reply(200, {"ok": True}) if agreed else Reply(status, {"error": why})
 
 
+def _member(body: bytes) -> str:
+    try:
+        given = json.loads(body)
+    except (ValueError, RecursionError):
+        raise BadCall("the body is no JSON") from None
+    member = given.get("member") if isinstance(given, dict) else None
+    if not isinstance(member, str) or not member:
+        raise BadCall('an object with a text "member" is needed')
+    return member
+
+
+def _on_member(act: Callable[[str], bool], body: bytes) -> Reply:
+    return _yes_if(act(_member(body)), 404, "no server of this id was ever listed")
+
+
 class Calls:
     """The calls by path and method."""
 
@@ -51,6 +74,8 @@
         self._table: dict[bytes, tuple[bytes, Callable[[bytes], Reply]]] = {
             b"/api/ready": (b"GET", lambda _: _yes_if(own.is_ready(), 503, "it takes no clients now")),
             b"/api/telemetry": (b"GET", lambda _: Reply(200, own.figures())),
+            b"/api/exclude": (b"POST", lambda body: _on_member(own.exclude, body)),
+            b"/api/include": (b"POST", lambda body: _on_member(own.include, body)),
         }
 
     def refusal(self, request: h11.Request) -> Reply | None:
@@ -66,7 +91,10 @@
 
     def carry_out(self, request: h11.Request, body: bytes) -> Reply:
         _, act = self._table[request.target.partition(b"?")[0]]
-        return act(body)
+        try:
+            return act(body)
+        except BadCall as fault:
+            return Reply(400, {"error": str(fault)})
 
 
 class _Caller(asyncio.Protocol):
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -32,6 +32,8 @@
     RequestArrived,
     RequestGone,
     Send,
+    ServerExcluded,
+    ServerIncluded,
     ServersListed,
     SetTimer,
     Tell,
@@ -166,6 +168,22 @@
         members, unavailable = self._balancer.members()
         return self._telemetry.figures(self._owed, members, unavailable)
 
+    def exclude(self, member: str) -> bool:
+        """Send nothing more to a server; no if it was never listed."""
+        if not self._balancer.knows(member):
+            return False
+        self._upstream.exclude(member)
+        self._post(ServerExcluded(member))
+        return True
+
+    def include(self, member: str) -> bool:
+        """Use a server again; no if it was never listed."""
+        if not self._balancer.knows(member):
+            return False
+        self._upstream.include(member)
+        self._post(ServerIncluded(member))
+        return True
+
     # Events
 
     def _post(self, event: Event) -> None:
--- a/micadeck/upstream.py
+++ b/micadeck/upstream.py
@@ -44,12 +44,13 @@
 class _Server:
     """Where a server is reached, and the connections to the process that is there now."""
 
-    __slots__ = ("address", "idle", "is_leaving", "started_at")
+    __slots__ = ("address", "idle", "is_excluded", "is_leaving", "started_at")
 
-    def __init__(self, address: Address, started_at: int | None) -> None:
+    def __init__(self, address: Address, started_at: int | None, is_excluded: bool) -> None:
         self.address = address
         self.started_at = started_at
-        self.is_leaving = False
+        self.is_leaving = False  # by the list
+        self.is_excluded = is_excluded  # by the operators
         self.idle: list[_Idle] = []  # the most recently used last
 
 
@@ -63,6 +64,7 @@
         self._use_within_us = int(limits.idle_close_us * (1.0 - _IDLE_MARGIN))
         self._most = most
         self._servers: dict[str, _Server] = {}
+        self._excluded: set[str] = set()  # also of servers that are not listed now
         self._owners: dict[ClientConnection, _Server] = {}  # of every open connection
         self._dialling = 0
         self._tasks: set[asyncio.Task[None]] = set()
@@ -84,11 +86,26 @@
             if server is None or (server.address, server.started_at) != (address, entry.listed.started_at):
                 # Guards against writing to what was there before under the same id.
                 self._drop(name)
-                server = self._servers[name] = _Server(address, entry.listed.started_at)
+                server = _Server(address, entry.listed.started_at, name in self._excluded)
+                self._servers[name] = server
             server.is_leaving = entry.listed.state is not ServerState.READY
             if server.is_leaving:
                 self._close_idle(server)
 
+    def exclude(self, name: str) -> None:
+        """Write no further request there, before any action that follows from it."""
+        self._excluded.add(name)
+        server = self._servers.get(name)
+        if server is not None:
+            server.is_excluded = True
+            self._close_idle(server)
+
+    def include(self, name: str) -> None:
+        self._excluded.discard(name)
+        server = self._servers.get(name)
+        if server is not None:
+            server.is_excluded = False
+
     def _drop(self, name: str) -> None:
         server = self._servers.pop(name, None)
         if server is not None:
@@ -101,7 +118,7 @@
         loop = asyncio.get_running_loop()
         server = self._servers.get(call.server)
         left_us = call.until - self._clock.now()
-        if server is None or server.is_leaving or left_us <= 0:
+        if server is None or server.is_leaving or server.is_excluded or left_us <= 0:
             loop.call_soon(self._end, call, Outcome.UNSENT)
             return
         call.timer = loop.call_later(left_us / 1e6, self._expire, call)
@@ -182,7 +199,7 @@
             self._end(call, outcome)
             return
         self._owners[connection] = server
-        if server.is_leaving:
+        if server.is_leaving or server.is_excluded:
             # Guards rule 3: word of its drain came while the dial was under way.
             connection.close()
             self._end(call, Outcome.UNSENT)
@@ -219,7 +236,7 @@
 
     def _freed(self, connection: ClientConnection) -> None:
         server = self._owners.get(connection)
-        if server is None or server.is_leaving:
+        if server is None or server.is_leaving or server.is_excluded:
             connection.close()
             return
         server.idle.append(_Idle(connection, self._clock.now()))
--- /dev/null
+++ b/tests/test_exclusion.py
@@ -0,0 +1,225 @@
+"""Servers that the operators take out and give back: the decisions, and the sockets."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from helpers import MS, START, S, Stage, names, settings
+from loopback import OK, Heard, line, play, stage, until
+
+from magpiemux.interface import (
+    CloseIdle,
+    ListedServer,
+    ListKind,
+    Outcome,
+    Refuse,
+    ServerExcluded,
+    ServerIncluded,
+    ServerState,
+)
+
+SMALL = names(4)
+OUT = SMALL[0]
+
+
+def used_after(stage: Stage, since: int) -> set[str]:
+    return {send.server for at, send in stage.sends() if at >= since}
+
+
+def trickle(stage: Stage, count: int) -> None:
+    """A request a second, each answered in 50 ms."""
+    for _ in range(count):
+        request = stage.request()
+        stage.wait(50 * MS)
+        stage.end(request)
+        stage.wait(950 * MS)
+
+
+def test_nothing_goes_to_an_excluded_server_whatever_is_listed() -> None:
+    stage = Stage()
+    stage.servers(SMALL)
+    stage.serve(40)
+    assert OUT in used_after(stage, START)
+    stage.play(ServerExcluded(OUT))
+    out_since = stage.now
+    stage.serve(40)
+    for kind in (ListKind.COMPLETE, ListKind.CHANGES, ListKind.REMEMBERED):
+        stage.servers([ListedServer(each, zone="east", started_at=stage.now) for each in SMALL], kind)
+        stage.serve(20)
+    stage.drain(OUT, ServerState.GONE)
+    stage.servers([OUT], ListKind.CHANGES)
+    stage.serve(40)
+    assert used_after(stage, out_since) == set(SMALL[1:])
+
+
+def test_retries_second_copies_and_trials_keep_off_an_excluded_server() -> None:
+    stage = Stage(settings(limits={"max_attempts": 9}))
+    stage.servers(SMALL[:2])
+    for _ in range(2):  # ejected, so that its trial would come
+        request = stage.request()
+        while stage.target(request) != OUT:
+            stage.end(request, Outcome.FULL)
+        stage.end(request, Outcome.DIAL_FAILED)
+        stage.end(request)
+    stage.wait(MS)
+    stage.play(ServerExcluded(OUT))
+    out_since = stage.now
+    stage.wait(60 * S)
+    for _ in range(20):
+        request = stage.request()
+        stage.wait(300 * MS)
+        stage.end(request, Outcome.DIAL_FAILED, attempt=0)
+        for index in range(1, len(stage.sends(request))):
+            stage.end(request, attempt=index)
+    assert used_after(stage, out_since) == {SMALL[1]}
+
+
+def test_what_an_excluded_server_holds_ends_normally() -> None:
+    stage = Stage()
+    stage.servers([OUT])
+    request = stage.request("pay")
+    stage.play(ServerExcluded(OUT))
+    stage.wait(100 * MS)
+    assert stage.end(request) == [] and stage.sends(request)[0][1].server == OUT
+
+
+def test_with_all_servers_excluded_requests_are_refused_at_once() -> None:
+    stage = Stage()
+    stage.servers(SMALL)
+    for name in SMALL:
+        stage.play(ServerExcluded(name))
+    request = stage.request("pay")
+    assert [each.request for each in stage.said(Refuse)] == [request]
+
+
+def test_one_call_back_ends_any_number_of_calls_out_and_it_is_used_soon() -> None:
+    # Guards small balancers: one request a second, of which chance may leave one server out for long.
+    for seed in range(20):
+        stage = Stage(seed=seed)
+        stage.servers(names(30))
+        trickle(stage, 30)
+        out = stage.sends()[-1][1].server
+        for _ in range(3):
+            stage.play(ServerExcluded(out))
+        stage.wait(5 * S)
+        stage.play(ServerIncluded(out))
+        back = stage.now
+        stage.play(ServerIncluded(out))
+        trickle(stage, 5)
+        assert out in used_after(stage, back), seed
+
+
+def test_a_server_restarted_while_excluded_returns_cold() -> None:
+    def sent_to_it(restarted: bool) -> int:
+        stage = Stage()
+        stage.servers(SMALL)
+        stage.serve(400, every_us=5 * MS)
+        stage.play(ServerExcluded(OUT))
+        if restarted:
+            started = ListedServer(OUT, zone="east", started_at=stage.now)
+            stage.servers([started], ListKind.CHANGES)
+        stage.play(ServerIncluded(OUT))
+        back = stage.now
+        stage.serve(200, every_us=5 * MS)
+        return sum(send.server == OUT for at, send in stage.sends() if at >= back)
+
+    warm, cold = sent_to_it(False), sent_to_it(True)
+    assert 0 < cold < warm / 2
+
+
+def test_counts_of_members_and_of_those_avoided() -> None:
+    stage = Stage()
+    stage.servers(SMALL)
+    assert stage.balancer.members() == (4, 0)
+    stage.play(ServerExcluded(OUT))
+    stage.play(ServerExcluded(OUT))
+    assert stage.balancer.members() == (4, 1)
+    stage.drain(SMALL[1])
+    assert stage.balancer.members() == (4, 2)
+    stage.drain(OUT, ServerState.GONE)
+    assert stage.balancer.members() == (3, 1)
+    assert stage.balancer.knows(OUT) and not stage.balancer.knows("unheard-of")
+
+
+def test_idle_connections_to_it_are_closed_where_a_rule_asks_for_it() -> None:
+    stage = Stage(settings(rules={"close_idle_within_us": 500 * MS}))
+    stage.servers(SMALL)
+    assert stage.play(ServerExcluded(OUT))[0] == CloseIdle(OUT)
+
+
+def test_calls_out_and_back_over_sockets() -> None:
+    async def work() -> None:
+        async with stage(OK, OK, console=True) as scene:
+            await scene.call("POST", "/api/exclude", b'{"member":"s-0"}')
+            assert (await scene.call("POST", "/api/exclude", b'{"member":"s-0"}'))[0] == 200
+            assert (await scene.figures())["members_unavailable"] == 1
+            for _ in range(10):
+                assert (await scene.ask()).status == 200
+            assert len(scene.servers[0].heard) == 0
+            assert (await scene.call("POST", "/api/include", b'{"member":"s-1"}'))[0] == 200  # never out
+            await scene.call("POST", "/api/exclude", b'{"member":"s-1"}')
+            assert (await scene.ask("lodge")).status == 503
+            assert (await scene.call("POST", "/api/include", b'{"member":"s-0"}'))[0] == 200
+            assert (await scene.ask("lodge")).status == 200
+            assert len(scene.servers[0].heard) == 1
+
+    play(work)
+
+
+def test_a_dial_under_way_when_its_server_is_excluded_carries_no_request() -> None:
+    async def work() -> None:
+        async with stage(OK, console=True) as scene:
+            client = await scene.client()
+            sidecar = scene.sidecar
+            call = sidecar._upstream._dial
+
+            async def dial_late(*given: object) -> None:
+                sidecar.exclude("s-0")
+                await call(*given)  # type: ignore[arg-type]
+
+            sidecar._upstream._dial = dial_late  # type: ignore[assignment, method-assign]
+            assert (await client.ask("lodge")).status == 503
+            assert scene.heard == []
+
+    play(work)
+
+
+def test_a_server_listed_anew_under_an_excluded_id_gets_nothing() -> None:
+    async def work() -> None:
+        async def hold(heard: Heard) -> bytes:
+            return OK
+
+        async with stage(hold, hold, console=True) as scene:
+            await scene.call("POST", "/api/exclude", b'{"member":"s-0"}')
+            scene.discovery.tell(line("s-0", scene.servers[0].address, started_ms=1_700_000_000_000))
+            await until(lambda: scene.sidecar._upstream._servers["s-0"].started_at is not None)
+            await asyncio.gather(*(scene.ask() for _ in range(10)))
+            assert len(scene.servers[0].heard) == 0
+
+    play(work)
+
+
+@pytest.mark.parametrize(
+    ("body", "status"),
+    [
+        (b'{"member":"never-listed"}', 404),
+        (b"{", 400),
+        (b"", 400),
+        (b"[]", 400),
+        (b"{}", 400),
+        (b'{"member":7}', 400),
+        (b'{"member":""}', 400),
+        (b"[" * 4_000, 400),
+        (b'{"member":"' + 5_000 * b"x" + b'"}', 413),
+    ],
+    ids=lambda value: repr(value)[:30],
+)
+def test_a_call_on_no_server_is_a_no(body: bytes, status: int) -> None:
+    async def work() -> None:
+        async with stage(OK, console=True) as scene:
+            for path in ("/api/exclude", "/api/include"):
+                assert (await scene.call("POST", path, body))[0] == status
+            assert (await scene.ask()).status == 200
+
+    play(work)
