Let operators send clients away and take them again, by the drain of SIGTERM

Evacuation is the drain that SIGTERM begins, without its end: connections at rest are closed, every answer closes its own, what still comes is served, and GET /_health says 503 until `rejoin`. A listener of our own accepts, so that accepting can end without touching the socket, and without the event loop's rush of accepts.

Not taken: to close the listening socket while evacuated. The front goes on opening connections for 0.2 s, which would be refused, and whoever asks for health would have to take a refused connection for the no.

A drain now spares connections opened within 0.25 s that have brought no request yet, and sends the end of a close at once in place of in the event loop's next round: requests crossed both.

--- a/micadeck/console.py
+++ b/micadeck/console.py
@@ -33,6 +33,10 @@
 
     def include(self, member: str) -> bool: ...
 
+    def evacuate(self) -> bool: ...
+
+    def rejoin(self) -> bool: ...
+
 
 @dataclass(frozen=True, slots=True)
 class Reply:
@@ -76,6 +80,8 @@
             b"/api/telemetry": (b"GET", lambda _: Reply(200, own.figures())),
             b"/api/exclude": (b"POST", lambda body: _on_member(own.exclude, body)),
             b"/api/include": (b"POST", lambda body: _on_member(own.include, body)),
+            b"/api/evacuate": (b"POST", lambda _: _yes_if(own.evacuate(), 409, "it is about to end")),
+            b"/api/rejoin": (b"POST", lambda _: _yes_if(own.rejoin(), 409, "it is about to end")),
         }
 
     def refusal(self, request: h11.Request) -> Reply | None:
--- a/micadeck/frontend.py
+++ b/micadeck/frontend.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import hashlib
-import os
 import re
 import select
 import socket
@@ -16,11 +15,10 @@
 import h11
 
 from magpiemux.interface import Repeat, ServiceClass, Settings
-from micadeck.client import Address, Headers, Message, is_framed_ambiguously
+from micadeck.client import Headers, Message, is_framed_ambiguously
+from micadeck.listener import Listener
 
 MOST_BODY = 64 << 10
-_BACKLOG = 1_024
-_ACCEPTS_AT_ONCE = 8  # so many connections are accepted before those over the limit are let go
 _YOUNG_S = 0.25  # a connection that waits for its request for longer goes before one at rest
 _LEFT = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # the other end is closed
 _LAST_DATA_RECEIVED = 52  # where struct tcp_info has how many milliseconds ago the last data came
@@ -194,8 +192,11 @@
             self._transport.close()
 
     def close(self) -> None:
-        if self._transport is not None:
-            self._transport.close()
+        if self._transport is None:
+            return
+        if self._transport.can_write_eof() and not self._transport.is_closing():
+            self._transport.write_eof()  # at once: the rest of a close waits for its turn in the event loop
+        self._transport.close()
 
     def abort(self) -> None:
         """Cut the connection, and drop what is still to be written."""
@@ -318,7 +319,10 @@
             return
         self._frontend.taken(self)
         if self._request.target == _HEALTH:
-            self.answer(200, [], b"ready\n")
+            if self._frontend.is_evacuated:
+                self.answer(503, [], b"evacuated\n")
+            else:
+                self.answer(200, [], b"ready\n")
             return
         if self._has_left():
             self.abort()
@@ -369,33 +373,27 @@
         self._most = most
         self.arrived = on_arrival
         self.gone = on_gone
-        self.is_draining = False
+        self.is_draining = False  # every further answer closes its connection
+        self.is_evacuated = False  # and clients are told to go elsewhere
         self._connections: dict[ClientSide, None] = {}
         # Answered, and nothing more came; and those whose client has something to do: the longest first.
         self._at_rest: dict[ClientSide, float] = {}
         self._waiting: dict[ClientSide, float] = {}
         self._sweep: asyncio.TimerHandle | None = None
-        self._server: asyncio.Server | None = None
+        self._listener: Listener | None = None
         self.last_opened = 0.0
 
-    async def listen(self, address: Address) -> None:
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: ClientSide(self), *address, backlog=_ACCEPTS_AT_ONCE, reuse_address=True
-        )
-        for each in self._server.sockets:
-            # The event loop accepts as many at once as may queue, and so runs out of descriptors.
-            with socket.socket(fileno=os.dup(each.fileno())) as listener:
-                listener.listen(_BACKLOG)
+    def listen(self, listening: socket.socket) -> None:
+        self._listener = Listener(listening, lambda: ClientSide(self))
 
     @property
     def port(self) -> int:
-        assert self._server is not None
-        return int(self._server.sockets[0].getsockname()[1])
+        assert self._listener is not None
+        return self._listener.port
 
     @property
     def takes_clients(self) -> bool:
-        return self._server is not None and self._server.is_serving() and not self.is_draining
+        return self._listener is not None and not self.is_draining
 
     def read(self, event: h11.Request, body: bytes) -> Incoming:
         return read_request(event, body, self._settings, self._classes)
@@ -405,13 +403,24 @@
         self.is_draining = True
         self.close_idle()
 
+    def rejoin(self) -> None:
+        """Take clients again after a drain."""
+        self.is_draining = self.is_evacuated = False
+
     def close_idle(self) -> None:
-        for each in [each for each in self._connections if each.is_idle]:
-            each.close()
+        """Close what is at rest, and what was opened a while ago and brought no request.
+
+        One just opened is about to bring its request: whoever opened it may not have heard of the drain.
+        """
+        unused = _older(self._waiting, asyncio.get_running_loop().time() - _YOUNG_S)
+        for each in [*self._at_rest, *unused]:
+            if each.is_idle:
+                each.close()
 
     def stop_listening(self) -> None:
-        if self._server is not None:
-            self._server.close()
+        listener, self._listener = self._listener, None
+        if listener is not None:
+            listener.close()
 
     @property
     def open_connections(self) -> int:
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -45,6 +45,7 @@
 from micadeck.config import Config
 from micadeck.console import MOST_CALLERS, Console
 from micadeck.frontend import ClientSide, Frontend, Incoming
+from micadeck.listener import bound
 from micadeck.peers import Peers
 from micadeck.telemetry import Telemetry
 from micadeck.upstream import Call, Upstream, load_report
@@ -118,7 +119,7 @@
         self._upstream.listed(self._config.known)
         self._post(self._config.known.event(ListKind.REMEMBERED))
         self._discovery.start()
-        await self.frontend.listen(self._config.listen)
+        self.frontend.listen(bound(self._config.listen))
 
     def move_discovery(self, address: Address) -> None:
         """Discovery is at another address from now on."""
@@ -184,6 +185,23 @@
         self._post(ServerIncluded(member))
         return True
 
+    def evacuate(self) -> bool:
+        """Send clients away, as at an end, and live on; no if it is about to end."""
+        if self._stop_by is not None:
+            return False
+        self.frontend.is_evacuated = True
+        self.frontend.drain()
+        self._log("evacuated: clients are sent away")
+        return True
+
+    def rejoin(self) -> bool:
+        """Take clients again; no if it is about to end."""
+        if self._stop_by is not None:
+            return False
+        self.frontend.rejoin()
+        self._log("rejoined: clients are taken again")
+        return True
+
     # Events
 
     def _post(self, event: Event) -> None:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -142,6 +142,8 @@
 
         async with program(hold, tmp_path) as running:
             taken, resting = await running.client(), await running.client()
+            resting.send(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n")
+            assert (await resting.answer()).status == 200
             taken.send(request("lodge"))
             await until(lambda: len(running.server.heard) == 1)
             running.process.send_signal(signal.SIGTERM)
