Start a new version beside the old one on the socket that the platform holds

Design. $BALANCER_SOCKET_FD names the listening socket; it is checked at the start, accepted from, and closed as a descriptor only, never shut down. After SIGTERM the old process accepts nothing more at once, so that the queue is the successor's, and drains as ever. Servers taken out go through $TMPDIR/excluded.json: changed under a lock by whichever process is called, replaced as a whole, looked at every 0.1 s by both. They share `peer_listen` by SO_REUSEPORT and have half of the descriptors each.

Not taken: to pass the exclusions over a socket between the two. It needs both alive and answering, where the old one may be killed at any time; and a hand-over at SIGTERM alone would leave calls to either unheard by the other before it. Nor a count of live processes to share descriptors by: a lock that tells it must be let go to be asked.

--- a/micadeck/__main__.py
+++ b/micadeck/__main__.py
@@ -9,9 +9,11 @@
 import gc
 import os
 import signal
+import socket
 import sys
 
 from micadeck.config import Config, ConfigError, load
+from micadeck.listener import inherited
 from micadeck.sidecar import Sidecar
 
 _LINES_PER_S = 20.0
@@ -51,7 +53,17 @@
     log(f"re-read the configuration: discovery is at {config.discovery[0]}:{config.discovery[1]}")
 
 
-async def serve(config: Config) -> None:
+def listening(config: Config) -> socket.socket | None:
+    """The clients' listening socket, where the platform holds it; raise ConfigError if it is none."""
+    if config.socket_fd is None:
+        return None
+    try:
+        return inherited(config.socket_fd)
+    except ValueError as nonsense:
+        raise ConfigError(f"BALANCER_SOCKET_FD: {nonsense}") from None
+
+
+async def serve(config: Config, held: socket.socket | None) -> None:
     """Run until SIGTERM or SIGINT, then drain; SIGHUP reads the configuration again."""
     log = LineLog()
     stop = asyncio.Event()
@@ -61,9 +73,11 @@
     loop.set_exception_handler(
         lambda _, what: log(f"internal error: {what['message']}: {what.get('exception')!r}")
     )
-    sidecar = Sidecar(config, log)
+    sidecar = Sidecar(config, log, held)
     loop.add_signal_handler(signal.SIGHUP, reread, sidecar, log)
     await sidecar.start()
+    if sidecar.console is not None and config.console is not None:
+        log(f"the operators' door is at {config.console[0]}:{sidecar.console.port}")
     log(f"{config.name} serves on {config.listen[0]}:{sidecar.frontend.port}")
     gc.freeze()  # what is there now stays: collections need not look at it
     await stop.wait()
@@ -75,11 +89,12 @@
 def main() -> int:
     try:
         config = load(os.environ)
+        held = listening(config)
     except ConfigError as fault:
         print(f"micadeck: config: {fault}".replace("\n", " "), file=sys.stderr)
         return 2
     try:
-        asyncio.run(serve(config))
+        asyncio.run(serve(config, held))
     except OSError as fault:
         print(f"micadeck: can't listen: {fault}", file=sys.stderr)
         return 1
--- a/micadeck/config.py
+++ b/micadeck/config.py
@@ -35,6 +35,8 @@
     peers: tuple[Address, ...]
     peers_all: Address | None
     console: Address | None  # None: there is no door for operators
+    socket_fd: int | None  # where the platform holds the clients' listening socket
+    folder: Path | None  # for what has to outlive a process
 
 
 def load(environ: Mapping[str, str]) -> Config:
@@ -56,10 +58,10 @@
     if environ.get("BALANCER_CONSOLE"):
         # At an upgrade two processes may share the file, but not this address: the environment is its own.
         given = {**given, "console": environ["BALANCER_CONSOLE"]}
-    return parse({**from_environment, **given})
+    return parse({**from_environment, **given}, environ)
 
 
-def parse(given: Mapping[str, Any]) -> Config:
+def parse(given: Mapping[str, Any], environ: Mapping[str, str] | None = None) -> Config:
     """Check a configuration; raise ConfigError, naming the key, on nonsense."""
     try:
         settings = settings_from_wire(given.get("settings"))
@@ -86,6 +88,8 @@
         peers=tuple(_address(f"peers[{index}]", each) for index, each in enumerate(peers)),
         peers_all=_optional_address("peers_all", given.get("peers_all")),
         console=_optional_address("console", given.get("console")),
+        socket_fd=_descriptor((environ or {}).get("BALANCER_SOCKET_FD")),
+        folder=Path(environ["TMPDIR"]) if environ and environ.get("TMPDIR") else None,
     )
 
 
@@ -116,6 +120,14 @@
         raise ConfigError(f"seed: hexadecimal digits are needed, not {value!r:.60}") from None
 
 
+def _descriptor(value: str | None) -> int | None:
+    if not value:
+        return None
+    if not value.isascii() or not value.isdecimal():
+        raise ConfigError(f"BALANCER_SOCKET_FD: a number is needed, not {value!r:.60}")
+    return int(value)
+
+
 def _sockets(limits: object) -> int:
     if limits is None:
         return _DEFAULT_SOCKETS
--- a/micadeck/peers.py
+++ b/micadeck/peers.py
@@ -28,8 +28,11 @@
         self._on_message = on_message
         self._transport: asyncio.DatagramTransport | None = None
 
-    async def listen(self, address: Address) -> None:
-        await asyncio.get_running_loop().create_datagram_endpoint(lambda: self, local_addr=address)
+    async def listen(self, address: Address, shared: bool = False) -> None:
+        """Hear others at this address, shared with another process of this sidecar if need be."""
+        await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: self, local_addr=address, reuse_port=shared or None
+        )
 
     def tell(self, receiver: int | None, payload: bytes) -> bool:
         """Send to one sidecar, or to all; say whether it could be sent at all."""
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections import deque
 from collections.abc import Callable
 
@@ -45,6 +46,7 @@
 from micadeck.config import Config
 from micadeck.console import MOST_CALLERS, Console
 from micadeck.frontend import ClientSide, Frontend, Incoming
+from micadeck.handover import Handover
 from micadeck.listener import bound
 from micadeck.peers import Peers
 from micadeck.telemetry import Telemetry
@@ -77,8 +79,10 @@
 class Sidecar:
     """One sidecar from its start to its end."""
 
-    def __init__(self, config: Config, log: Callable[[str], None]) -> None:
+    def __init__(self, config: Config, log: Callable[[str], None], held: socket.socket | None = None) -> None:
+        """`held` is the clients' listening socket, where the platform holds it for all processes."""
         self._config = config
+        self._held = held
         self._log = log
         self._settings = config.settings
         self._clock = Clock()
@@ -91,8 +95,13 @@
         self._stop_by: int | None = None  # when all must be answered, once it drains
         self._telemetry = Telemetry(each.name for each in config.settings.classes)
         self.console = None if config.console is None else Console(self)
-        room = config.sockets - _RESERVED - (MOST_CALLERS if self.console else 0)
-        for_clients = int(min(config.sockets * _FOR_CLIENTS, room * _FOR_CLIENTS_LEFT))
+        self._handover: Handover | None = None
+        if self.console is not None and config.folder is not None:
+            self._handover = Handover(config.folder, log)
+        # At an upgrade two processes are one sidecar, and have its descriptors together.
+        sockets = config.sockets // 2 if held is not None else config.sockets
+        room = sockets - _RESERVED - (MOST_CALLERS if self.console else 0)
+        for_clients = int(min(sockets * _FOR_CLIENTS, room * _FOR_CLIENTS_LEFT))
         self.frontend = Frontend(config.settings, for_clients, self._arrived, self._gone)
         limits, written = config.settings.limits, self._telemetry.attempted
         self._upstream = Upstream(self._clock, limits, room - for_clients, written)
@@ -113,13 +122,17 @@
     async def start(self) -> None:
         """Take up the last known list, then listen."""
         if self._settings.limits.may_message and self._config.peer_listen is not None:
-            await self._peers.listen(self._config.peer_listen)
+            await self._peers.listen(self._config.peer_listen, shared=self._held is not None)
         if self.console is not None and self._config.console is not None:
             await self.console.listen(self._config.console)
         self._upstream.listed(self._config.known)
         self._post(self._config.known.event(ListKind.REMEMBERED))
+        if self._handover is not None:
+            self._taken_over(self._handover.read() or frozenset())
+            if self._held is not None:
+                self._handover.watch(self._taken_over)
         self._discovery.start()
-        self.frontend.listen(bound(self._config.listen))
+        self.frontend.listen(self._held or bound(self._config.listen))
 
     def move_discovery(self, address: Address) -> None:
         """Discovery is at another address from now on."""
@@ -138,9 +151,13 @@
         left_s = longest_s + _KILLED_AFTER_S - _SPARE_S
         self._stop_by = self._clock.now() + int(left_s * 1e6)
         self.frontend.drain()
-        await asyncio.sleep(_NEW_FOR_S)
-        while loop.time() < self.frontend.last_opened + _QUIET_S and loop.time() < began + _KILLED_AFTER_S:
-            await asyncio.sleep(_QUIET_S / 2)
+        if self._held is None:
+            await asyncio.sleep(_NEW_FOR_S)
+            while (
+                loop.time() < self.frontend.last_opened + _QUIET_S and loop.time() < began + _KILLED_AFTER_S
+            ):
+                await asyncio.sleep(_QUIET_S / 2)
+        # A socket that the platform holds goes on queueing, and the successor accepts what comes.
         self.frontend.stop_listening()
         while (self._owed or self.frontend.open_connections) and loop.time() < began + left_s:
             if not self._owed:
@@ -151,9 +168,18 @@
         await asyncio.sleep(0)
         self.close()
 
+    async def _hear_newcomers(self, began: float) -> None:
+        """Go on accepting while new connections keep coming."""
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(_NEW_FOR_S)
+        while loop.time() < min(self.frontend.last_opened + _QUIET_S, began + _KILLED_AFTER_S):
+            await asyncio.sleep(_QUIET_S / 2)
+
     def close(self) -> None:
         if self.console is not None:
             self.console.close()
+        if self._handover is not None:
+            self._handover.close()
         self._discovery.close()
         self._peers.close()
         self._upstream.close()
@@ -171,20 +197,34 @@
 
     def exclude(self, member: str) -> bool:
         """Send nothing more to a server; no if it was never listed."""
-        if not self._balancer.knows(member):
-            return False
-        self._upstream.exclude(member)
-        self._post(ServerExcluded(member))
-        return True
+        return self._called(member, True)
 
     def include(self, member: str) -> bool:
         """Use a server again; no if it was never listed."""
+        return self._called(member, False)
+
+    def _called(self, member: str, is_out: bool) -> bool:
         if not self._balancer.knows(member):
             return False
-        self._upstream.include(member)
-        self._post(ServerIncluded(member))
+        if self._handover is not None:
+            self._handover.record(member, is_out, self._upstream.excluded)
+        self._use(member, is_out)
         return True
 
+    def _use(self, member: str, is_out: bool) -> None:
+        if is_out:
+            self._upstream.exclude(member)
+            self._post(ServerExcluded(member))
+        else:
+            self._upstream.include(member)
+            self._post(ServerIncluded(member))
+
+    def _taken_over(self, out: frozenset[str]) -> None:
+        """Another process of this sidecar was called: do as it did."""
+        before = self._upstream.excluded
+        for member in sorted(before ^ out):
+            self._use(member, member in out)
+
     def evacuate(self) -> bool:
         """Send clients away, as at an end, and live on; no if it is about to end."""
         if self._stop_by is not None:
--- a/micadeck/upstream.py
+++ b/micadeck/upstream.py
@@ -92,6 +92,10 @@
             if server.is_leaving:
                 self._close_idle(server)
 
+    @property
+    def excluded(self) -> frozenset[str]:
+        return frozenset(self._excluded)
+
     def exclude(self, name: str) -> None:
         """Write no further request there, before any action that follows from it."""
         self._excluded.add(name)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -96,14 +96,17 @@
         return Client(*await asyncio.open_connection(HOST, self.port))
 
 
-async def started(config: Path) -> asyncio.subprocess.Process:
+async def started(
+    config: Path, environ: dict[str, str] | None = None, descriptors: tuple[int, ...] = ()
+) -> asyncio.subprocess.Process:
     return await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
         "micadeck",
         cwd=ROOT,
-        env={**os.environ, "BALANCER_CONFIG": str(config)},
+        env={**os.environ, "BALANCER_CONFIG": str(config), **(environ or {})},
         stderr=asyncio.subprocess.PIPE,
+        pass_fds=descriptors,
     )
 
 
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,220 @@
+"""A new version under load: two processes, one listening socket, and what outlives the first."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import re
+import signal
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import pytest
+from loopback import (
+    HOST,
+    OK,
+    Client,
+    Heard,
+    ScriptedDiscovery,
+    ScriptedServer,
+    line,
+    play,
+    request,
+    soon,
+    until,
+)
+from test_program import GOOD, started
+
+from micadeck.handover import Handover
+from micadeck.listener import inherited
+
+
+@dataclass
+class Running:
+    """One process of the sidecar."""
+
+    process: asyncio.subprocess.Process
+    console: int
+    log: list[str] = field(default_factory=list)
+
+    async def line(self) -> str:
+        assert self.process.stderr is not None
+        return (await soon(self.process.stderr.readline())).decode()
+
+    async def call(self, path: str, member: str) -> int:
+        caller = Client(*await asyncio.open_connection(HOST, self.console))
+        body = json.dumps({"member": member})
+        caller.send(f"POST {path} HTTP/1.1\r\nHost: c\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
+        answer = await caller.answer()
+        caller.close()
+        return answer.status
+
+
+@dataclass
+class Platform:
+    """Holds the listening socket, and starts processes that share it, a folder and the configuration."""
+
+    folder: Path
+    held: socket.socket
+    servers: list[ScriptedServer]
+    running: list[Running] = field(default_factory=list)
+
+    async def start(self) -> Running:
+        environ = {
+            "TMPDIR": str(self.folder),
+            "BALANCER_SOCKET_FD": str(self.held.fileno()),
+            "BALANCER_CONSOLE": f"{HOST}:0",
+        }
+        process = await started(self.folder / "config.json", environ, (self.held.fileno(),))
+        one = Running(process, 0)
+        self.running.append(one)
+        while "serves on" not in (told := await one.line()):
+            door = re.search(r"the operators' door is at .*:(\d+)", told)
+            one.console = int(door[1]) if door else one.console
+        return one
+
+    async def client(self) -> Client:
+        return Client(*await asyncio.open_connection(*self.held.getsockname()))
+
+
+@asynccontextmanager
+async def platform(folder: Path, *scripts: object) -> AsyncIterator[Platform]:
+    servers = [await ScriptedServer(script).start() for script in scripts]  # type: ignore[arg-type]
+    discovery = ScriptedDiscovery()
+    discovery.servers = [line(f"s-{index}", each.address) for index, each in enumerate(servers)]
+    await discovery.start()
+    known = {"version": 1, "full": True, "servers": discovery.servers}
+    with socket.socket() as held:
+        held.bind((HOST, 0))
+        held.listen(64)
+        own = {"listen": f"{HOST}:{held.getsockname()[1]}", "discovery": discovery.address, "known": known}
+        (folder / "config.json").write_text(json.dumps({**GOOD, **own}))
+        scene = Platform(folder, held, servers)
+        try:
+            yield scene
+        finally:
+            for each in scene.running:
+                if each.process.returncode is None:
+                    each.process.kill()
+                    await each.process.wait()
+            for server in (*servers, discovery):
+                server.stop()
+
+
+def test_the_old_process_ends_what_it_has_and_the_new_one_takes_what_comes(tmp_path: Path) -> None:
+    async def work() -> None:
+        release = asyncio.Event()
+
+        async def hold(heard: Heard) -> bytes:
+            await release.wait()
+            return OK
+
+        async with platform(tmp_path, hold) as scene:
+            old = await scene.start()
+            taken = await scene.client()
+            taken.send(request("lodge"))
+            await until(lambda: len(scene.servers[0].heard) == 1)
+            await scene.start()
+            old.process.send_signal(signal.SIGTERM)
+            assert await old.line() == "draining\n"
+            new = [await scene.client() for _ in range(4)]
+            for client in new:
+                client.send(request("lodge"))
+            await until(lambda: len(scene.servers[0].heard) == 5)
+            release.set()
+            assert (await taken.answer()).headers["connection"] == "close"
+            for client in new:
+                answer = await client.answer()
+                assert answer.status == 200 and "connection" not in answer.headers
+            assert await soon(old.process.wait()) == 0
+            assert (await (await scene.client()).ask()).status == 200  # the socket was not shut down
+
+    play(work)
+
+
+def test_exclusions_pass_on_and_both_processes_keep_them(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with platform(tmp_path, OK, OK) as scene:
+            old = await scene.start()
+            assert await old.call("/api/exclude", "s-0") == 200
+            assert "excluded s-0" in await old.line()
+            new = await scene.start()
+            for _ in range(10):
+                assert (await (await scene.client()).ask()).status == 200
+            assert scene.servers[0].heard == []
+            assert await old.call("/api/exclude", "s-1") == 200  # after the new one's start
+            while "excluded s-1" not in await new.line():
+                pass
+            assert await new.call("/api/include", "s-0") == 200
+            while "included s-0" not in await old.line():
+                pass
+            old.process.kill()
+            await soon(old.process.wait())
+            answers = [await (await scene.client()).ask("lodge") for _ in range(5)]
+            assert {each.status for each in answers} == {200}
+            assert len(scene.servers[0].heard) == 5
+
+    play(work)
+
+
+def test_a_descriptor_that_is_no_listening_socket_ends_the_start_with_2(tmp_path: Path) -> None:
+    async def work() -> None:
+        (tmp_path / "config.json").write_text(json.dumps(GOOD))
+        idle = socket.socket()
+        datagram = socket.socket(type=socket.SOCK_DGRAM)
+        with idle, datagram, (tmp_path / "file").open("wb") as file:
+            for number in (idle.fileno(), datagram.fileno(), file.fileno(), 987, "five"):
+                environ = {"BALANCER_SOCKET_FD": str(number)}
+                passed = (number,) if isinstance(number, int) and number != 987 else ()
+                process = await started(tmp_path / "config.json", environ, passed)
+                _, told = await soon(process.communicate())
+                assert process.returncode == 2
+                assert told.startswith(b"micadeck: config: BALANCER_SOCKET_FD: ") and told.count(b"\n") == 1
+
+    play(work)
+
+
+def test_a_listening_socket_is_taken_as_it_is() -> None:
+    with socket.socket() as held:
+        held.bind((HOST, 0))
+        held.listen(1)
+        taken = inherited(os.dup(held.fileno()))
+        assert taken.getsockname() == held.getsockname()
+        taken.close()
+        with pytest.raises(ValueError, match="descriptor"):
+            inherited(10**9)
+
+
+@pytest.mark.parametrize(
+    "content",
+    [b"", b"{", b"[]", b"{}", b'{"excluded":7}', b'{"excluded":[7]}', b"\xff", b"[" * 100_000],
+    ids=lambda value: repr(value)[:20],
+)
+def test_a_corrupt_file_is_logged_ignored_and_replaced(content: bytes, tmp_path: Path) -> None:
+    log: list[str] = []
+    handover = Handover(tmp_path, log.append)
+    assert handover.read() is None and log == []  # there is none yet
+    (tmp_path / "excluded.json").write_bytes(content)
+    assert handover.read() is None
+    assert len(log) == 1 and log[0].startswith("ignored the file of excluded servers: ")
+    handover.record("b", True, frozenset({"a"}))
+    assert handover.read() == frozenset({"a", "b"})
+
+
+def test_two_writers_lose_no_word_of_each_other(tmp_path: Path) -> None:
+    first, second = Handover(tmp_path, print), Handover(tmp_path, print)
+    first.record("a", True, frozenset())
+    second.record("b", True, frozenset())
+    first.record("c", True, frozenset({"a"}))
+    second.record("a", False, frozenset({"b"}))
+    assert first.read() == second.read() == frozenset({"b", "c"})
+
+
+def test_a_folder_that_takes_no_file_is_logged_and_the_call_goes_on(tmp_path: Path) -> None:
+    log: list[str] = []
+    Handover(tmp_path / "missing", log.append).record("a", True, frozenset())
+    assert len(log) == 1 and log[0].startswith("could not write the file of excluded servers: ")
