Let long bodies pass through both ways, with backpressure, in place of refusing them

A message of up to 64 KiB is kept whole, as before. A longer answer is the client's from its beginning; a longer body goes to the server that the module picks for its head. Where one side takes nothing more, reading on the other stops; each client's connection has an even part of an eighth of the memory. The module hears of it: `arriving` and RequestComplete (its time begins with the last byte), AnswerStarted (its time stops, the server has done its work), `spent` (it can't be sent again). So neither slow clients nor size count against servers or the window.

Not taken: one pool of buffers for all connections, first come, first served. Nor to keep long bodies so that they can be repeated: more come at once than memory holds.

Clients have 2.4 s for a head, then 2.7 s and a pace of 58 kB/s for a body; a far side that takes or gives nothing of a passing body for 10 s is given up. An answer of unknown length is held for 50 ms at most.

--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -31,6 +31,7 @@
     Refuse,
     Repeat,
     RequestArrived,
+    RequestComplete,
     RequestGone,
     Send,
     ServerExcluded,
@@ -49,6 +50,7 @@
 DRAWN = 4  # k: counts are mostly small here, where two looks find too little
 REACH = 4.0  # a balancer at rest draws from this many servers: a choice, yet few enough to know them
 REACH_PER_BUSY = 1.0  # and from one more for each request in flight: as many again may be empty
+ARRIVAL_US = 3_600_000_000  # a body that passes through is done by then: whoever reads it sees to that
 TICKS_EARLY = 2  # a final answer leaves this many ticks before the client's time is up
 COLD_SHARE = 0.5  # part of the pushing-over load that a cold server's budget fills at
 COLD_BURST = 0.18  # part of that load that may come at once
@@ -190,6 +192,7 @@
 
     __slots__ = (
         "answers_before",
+        "at_work",
         "felt",
         "idled",
         "index",
@@ -207,6 +210,7 @@
         self.server = server
         self.sent_at = sent_at
         self.pending = True
+        self.at_work = False  # whether the server has it all and owes the beginning of an answer
         self.may_have_run = True  # until an outcome proves that it did not
         self.started = False
         self.idled = 0  # how long its connection had gone unused; 0: it was new or in steady use
@@ -222,9 +226,22 @@
 class Request:
     """A request taken; it is kept until it is answered and its last attempt has ended."""
 
-    __slots__ = ("answer_by", "answered", "attempts", "cost", "ident", "kind", "said_full", "size", "tried")
+    __slots__ = (
+        "answer_by",
+        "answered",
+        "arriving",
+        "attempts",
+        "cost",
+        "ident",
+        "kind",
+        "once",
+        "said_full",
+        "size",
+        "spent",
+        "tried",
+    )
 
-    def __init__(self, ident: int, kind: ServiceClass, answer_by: int, cost: float) -> None:
+    def __init__(self, ident: int, kind: ServiceClass, answer_by: int, cost: float, arriving: bool) -> None:
         self.ident = ident
         self.kind = kind
         self.answer_by = answer_by
@@ -234,11 +251,18 @@
         self.tried: list[Server] = []  # servers that failed this request, full ones included
         self.said_full = 0
         self.answered = False
+        self.arriving = arriving
+        self.once = arriving  # its body passes through: there are no second copies
+        self.spent = False  # and some of it is gone: nothing can be sent again
 
     def is_out(self) -> bool:
         """Whether an attempt has not ended yet."""
         return any(each.pending for each in self.attempts)
 
+    def is_streaming(self) -> bool:
+        """Whether the client is getting an answer."""
+        return any(each.started and each.pending for each in self.attempts)
+
 
 # ---------------------------------------------------------------------------------------------------
 # The balancer
@@ -321,6 +345,8 @@
                 self._request_gone(event)
             case AnswerStarted():
                 self._answer_started(event)
+            case RequestComplete():
+                self._complete(event)
             case ServerExcluded():
                 self._exclude(event.server)
             case ServerIncluded():
@@ -481,15 +507,51 @@
         self._arrivals.add(self._now, 1.0)
         self._extra = min(self._extra + EXTRA_PER_REQUEST, EXTRA_PER_REQUEST * EXTRA_SAVED)
         self._trials = min(self._trials + TRIALS_PER_REQUEST, TRIALS_SAVED)
-        answer_by = self._now + event.remaining_us - TICKS_EARLY * self._settings.tick_us
-        request = Request(event.request, kind, answer_by, self._relative_cost(kind, event.cost_us))
+        cost = self._relative_cost(kind, event.cost_us)
+        request = Request(event.request, kind, self._now + ARRIVAL_US, cost, event.arriving)
         self._requests[event.request] = request
-        self._schedule(answer_by, event.request, _WHOLE)
+        if not event.arriving:
+            self._begin_time(request, event.remaining_us)
         if self._overloaded_for(kind, event.tenant):
             self._finish(request)
         else:
             self._place(request)
 
+    def _begin_time(self, request: Request, remaining_us: int) -> None:
+        request.answer_by = self._now + remaining_us - TICKS_EARLY * self._settings.tick_us
+        self._schedule(request.answer_by, request.ident, _WHOLE)
+
+    def _complete(self, event: RequestComplete) -> None:
+        """A request has arrived to its end: its server has it now, and its time runs."""
+        request = self._requests.get(event.request)
+        if request is None or request.answered or not request.arriving:
+            return
+        request.arriving = False
+        self._begin_time(request, event.remaining_us)
+        for attempt in request.attempts:
+            if attempt.pending and not attempt.started:
+                attempt.sent_at, attempt.answers_before = self._now, self._answers
+                self._take_up(request, attempt)
+
+    def _take_up(self, request: Request, attempt: Attempt) -> None:
+        """A server has work from here on."""
+        server = attempt.server
+        attempt.at_work = True
+        server.in_flight += 1
+        self._pending += 1
+        self._stuck += server.ejected_until is not None
+        self._schedule(self._now + self._patience(request, server), request.ident, attempt.index)
+
+    def _put_down(self, attempt: Attempt) -> bool:
+        """It has none any more; say whether it had."""
+        if not attempt.at_work:
+            return False
+        attempt.at_work = False
+        attempt.server.in_flight -= 1
+        self._pending -= 1
+        self._stuck -= attempt.server.ejected_until is not None
+        return True
+
     def _relative_cost(self, kind: ServiceClass, cost_us: int | None) -> float:
         if not cost_us or cost_us < 0:
             return 1.0
@@ -511,8 +573,19 @@
 
     def _answer_started(self, event: AnswerStarted) -> None:
         request = self._requests.get(event.request)
-        if request is not None and event.attempt < len(request.attempts):
-            request.attempts[event.attempt].started = True
+        if request is None or event.attempt >= len(request.attempts):
+            return
+        attempt = request.attempts[event.attempt]
+        if attempt.started or not attempt.pending:
+            return
+        # The server has done its work; how long the rest takes is a matter of size, and of who reads it.
+        attempt.started = True
+        self._put_down(attempt)
+        self._served(request, attempt, self._now - attempt.sent_at)
+        self._judge(attempt, Outcome.DELIVERED)
+        for other in request.attempts:
+            if other.pending and not other.started and self._settings.limits.may_cancel:
+                self._actions.append(Cancel(request.ident, other.index))
 
     # -----------------------------------------------------------------------------------------------
     # Overload: refuse early, the least worthy first
@@ -815,19 +888,19 @@
         attempt.idled = self._idle_time(server)
         request.attempts.append(attempt)
         self._returning.pop(server, None)
-        server.in_flight += 1
-        self._pending += 1
         self._sent.add(self._now, 1.0)
         if server.ejected_until is not None:
             server.trial = attempt
             self._trials -= 1.0
-            self._stuck += 1
-        self._schedule(self._now + self._patience(request, server), request.ident, attempt.index)
+        if not request.arriving:
+            self._take_up(request, attempt)
         self._actions.append(Send(request.ident, server.name, request.answer_by))
         return True
 
     def _may_run_again(self, request: Request) -> bool:
         """Whether the request's class lets another attempt out now."""
+        if request.spent:
+            return False
         first_maybe = next((each for each in request.attempts if each.may_have_run), None)
         if first_maybe is None or request.kind.repeat is Repeat.SAFE:
             return True
@@ -898,37 +971,33 @@
             return
         attempt.pending = False
         attempt.may_have_run = not self._settings.rules.never_ran(event.outcome)
-        attempt.server.in_flight -= 1
-        self._pending -= 1
-        if attempt.server.ejected_until is not None:
-            self._stuck -= 1
+        was_at_work = self._put_down(attempt)
+        request.spent |= event.spent
         self._close_if_leaving(attempt.server)
-        given_up = event.outcome is Outcome.CANCELLED and event.elapsed_us >= request.kind.aim_us
-        self._judge(attempt, Outcome.EXPIRED if given_up else event.outcome)
+        took = min(event.elapsed_us, self._now - attempt.sent_at)
+        given_up = event.outcome is Outcome.CANCELLED and took >= request.kind.aim_us and was_at_work
+        if not attempt.started or event.outcome is not Outcome.DELIVERED:
+            self._judge(attempt, Outcome.EXPIRED if given_up else event.outcome)
         if event.report and "util" in event.report:
             self._follow_cores(min(max(event.report["util"], 0.0), 1.0))
-        if event.outcome in (Outcome.EXPIRED, Outcome.CANCELLED):
-            until = self._now + int(GHOST_LIFE * event.elapsed_us)
+        if event.outcome in (Outcome.EXPIRED, Outcome.CANCELLED) and was_at_work:
+            until = self._now + int(GHOST_LIFE * took)
             attempt.server.ghosts.append(until)
             if attempt.server.ejected_until is None:
                 heapq.heappush(self._ghosts, until)
-            if event.elapsed_us > self._usual(request) * attempt.server.pace:
-                self._pace(attempt.server, request, event.elapsed_us)
+            if took > self._usual(request) * attempt.server.pace:
+                self._pace(attempt.server, request, took)
         if event.outcome is Outcome.ERROR:
             # A quick error must not look like a quick server: it counts as the slowest answer there is.
             self._pace(attempt.server, request, int(PACE_CLIP * self._usual(request)))
         if event.outcome is Outcome.FULL:
             self._full_heard(attempt.server, request.kind.name)
-        if event.outcome is Outcome.DELIVERED:
-            attempt.server.shy.pop(request.kind.name, None)
-            self._served_aims.add(self._now, request.kind.aim_us)
-            self._time(attempt.server, request, event.elapsed_us)
-            if not attempt.felt:
-                self._feel(event.elapsed_us / request.kind.aim_us)
+        if event.outcome is Outcome.DELIVERED and not attempt.started:
+            self._served(request, attempt, took)
         if event.answered:
             if not request.answered:
                 self._close(request)
-        elif not request.answered:
+        elif not request.answered and not request.is_streaming():
             request.tried.append(attempt.server)
             full = event.outcome is Outcome.FULL
             request.said_full += full
@@ -944,6 +1013,13 @@
                 self._feel(LOST_SPENT)  # no redraw found room: the fleet is full, not one server
         self._forget_if_over(request)
 
+    def _served(self, request: Request, attempt: Attempt, took: int) -> None:
+        attempt.server.shy.pop(request.kind.name, None)
+        self._served_aims.add(self._now, request.kind.aim_us)
+        self._time(attempt.server, request, took)
+        if not attempt.felt:
+            self._feel(took / request.kind.aim_us)
+
     # -----------------------------------------------------------------------------------------------
     # Pace: how long a server takes, relative to the usual for such requests
 
@@ -995,7 +1071,7 @@
                 self._eject(server, "silent", SILENT_MOST)
         silent = silent and (server.ejected_until is not None or attempt.blames_idle)
         limits = self._settings.limits
-        if not self._may_run_again(request) or len(request.attempts) >= limits.max_attempts:
+        if request.once or not self._may_run_again(request) or len(request.attempts) >= limits.max_attempts:
             return  # waiting is all that is left
         if limits.second_copies:
             if silent and self._extra >= 1.0:
--- a/magpiemux/interface.py
+++ b/magpiemux/interface.py
@@ -445,6 +445,15 @@
     cost_us: int | None = None  # a hint of the work, where the client gave one
     client_retry: bool = False
     write: bool = False
+    arriving: bool = False  # its body is still coming, and passes through: RequestComplete begins its time
+
+
+@dataclass(slots=True)
+class RequestComplete:
+    """The last byte of a request that was arriving is here; its time runs from now."""
+
+    request: int
+    remaining_us: int
 
 
 @dataclass(slots=True)
@@ -468,6 +477,7 @@
     elapsed_us: int
     answered: bool
     report: Mapping[str, float] | None = None
+    spent: bool = False  # of the request's body some was sent on and not kept: it can't be sent again
 
 
 @dataclass(slots=True)
@@ -519,6 +529,7 @@
 Event = (
     ServersListed
     | RequestArrived
+    | RequestComplete
     | AnswerStarted
     | AttemptEnded
     | RequestGone
--- a/micadeck/config.py
+++ b/micadeck/config.py
@@ -14,6 +14,7 @@
 from micadeck.discovery import Listing, parse_listing
 
 _DEFAULT_SOCKETS = 1_024
+_DEFAULT_MEMORY_MB = 64
 
 
 class ConfigError(Exception):
@@ -30,6 +31,7 @@
     settings: Settings
     seed: int
     sockets: int
+    memory_mb: int
     known: Listing
     peer_listen: Address | None
     peers: tuple[Address, ...]
@@ -82,7 +84,8 @@
         discovery=_address("discovery", given.get("discovery")),
         settings=settings,
         seed=_seed(given.get("seed")),
-        sockets=_sockets(given.get("limits")),
+        sockets=_limit(given.get("limits"), "sockets", 64, _DEFAULT_SOCKETS),
+        memory_mb=_limit(given.get("limits"), "memory_mb", 1, _DEFAULT_MEMORY_MB),
         known=listing,
         peer_listen=_optional_address("peer_listen", given.get("peer_listen")),
         peers=tuple(_address(f"peers[{index}]", each) for index, each in enumerate(peers)),
@@ -128,12 +131,14 @@
     return int(value)
 
 
-def _sockets(limits: object) -> int:
+def _limit(limits: object, key: str, least: int, default: int) -> int:
     if limits is None:
-        return _DEFAULT_SOCKETS
+        return default
     if not isinstance(limits, Mapping):
         raise ConfigError("limits: an object is needed")
-    value = limits.get("sockets", _DEFAULT_SOCKETS)
-    if type(value) is not int or value < 64:
-        raise ConfigError(f"limits.sockets: a whole number from 64 is needed, not {value!r:.60}")
+    value = limits.get(key, default)
+    if isinstance(value, float) and value.is_integer():
+        value = int(value)
+    if type(value) is not int or value < least:
+        raise ConfigError(f"limits.{key}: a whole number from {least} is needed, not {value!r:.60}")
     return value
--- a/micadeck/frontend.py
+++ b/micadeck/frontend.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import hashlib
 import re
 import select
 import socket
 import sys
+import termios
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from itertools import islice, takewhile
@@ -17,15 +19,18 @@
 from magpiemux.interface import Repeat, ServiceClass, Settings
 from micadeck.client import Headers, Message, is_framed_ambiguously
 from micadeck.listener import Listener
+from micadeck.stream import KEPT, LONGEST, STALLED_S, BoundedReader, Source, Upload, part_of_budget
 
-MOST_BODY = 64 << 10
 _YOUNG_S = 0.25  # a connection that waits for its request for longer goes before one at rest
 _LEFT = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # the other end is closed
 _LAST_DATA_RECEIVED = 52  # where struct tcp_info has how many milliseconds ago the last data came
 _LOOKS = 8  # connections at rest that are looked at for one to let go
-_WITHIN_S = 2.0  # to send a whole request, to read an answer, or to end what was refused unread
+_WITHIN_S = 2.4  # to send a head, to read some of an answer, or to end what was refused unread
+_BODY_WITHIN_S = 2.7  # to send head and body, and the time that the body takes at the least pace
+_LEAST_PACE = 58_000.0  # bytes a second of a body; a legal client sends some more
 _AT_REST_S = 60.0  # how long a connection is kept that nobody uses
 _SWEEP_S = 0.25
+_SWEEP_SOON_S = 0.1  # while bodies are sent or read
 _HEALTH = b"/_health"
 
 _REQUEST_ID = re.compile(rb"[!-~]{1,128}")
@@ -39,6 +44,7 @@
     b"connection keep-alive proxy-connection te trailer transfer-encoding upgrade expect"
     b" request-timeout content-length".split()
 )
+_CHUNKED = (b"transfer-encoding", b"chunked")
 _ALWAYS_PASSED = frozenset((b"host", b"request-id", b"idempotency-key"))  # whatever `Connection` says of them
 
 
@@ -60,19 +66,21 @@
     target: bytes
     headers: Headers  # as they go on to a server, but for the time that it has
     body: bytes
+    upload: Upload | None = None  # in place of the body, where that is too long to be kept
 
     def message(self, left_us: int) -> Message:
         """The same request as a server gets it, when the sidecar will wait for so long."""
-        return Message(
-            self.method,
-            self.target,
-            [*self.headers, (b"request-timeout", b"%.3f" % (left_us / 1e6))],
-            self.body,
-        )
+        if self.upload is not None:
+            left_us = min(left_us, self.remaining_us)
+        timeout = (b"request-timeout", b"%.3f" % (left_us / 1e6))
+        return Message(self.method, self.target, [*self.headers, timeout], self.body, self.upload)
 
 
 def read_request(
-    event: h11.Request, body: bytes, settings: Settings, classes: Mapping[str, ServiceClass]
+    event: h11.Request,
+    body: bytes | Upload,
+    settings: Settings,
+    classes: Mapping[str, ServiceClass],
 ) -> Incoming:
     """Check a request; raise BadRequest on what no server must see."""
     own: dict[bytes, bytes] = {}
@@ -108,8 +116,12 @@
     hint = own.get(b"work-hint")
     if hint is not None and not _HINT.fullmatch(hint):
         raise BadRequest("work-hint is nonsense")
-    if body or not is_get:
-        headers.append((b"content-length", b"%d" % len(body)))
+    upload = body if isinstance(body, Upload) else None
+    length = len(body) if isinstance(body, bytes) else body.length
+    if length is None:
+        headers.append(_CHUNKED)
+    elif length or not is_get:
+        headers.append((b"content-length", b"%d" % length))
     tenant = own.get(b"tenant", b"").decode("latin-1")
     return Incoming(
         service_class=kind.name,
@@ -121,7 +133,8 @@
         method=event.method,
         target=event.target,
         headers=headers,
-        body=body,
+        body=body if isinstance(body, bytes) else b"",
+        upload=upload,
     )
 
 
@@ -138,7 +151,7 @@
     return int.from_bytes(hashlib.blake2b(last, digest_size=6).digest(), "big") if last else None
 
 
-class ClientSide(asyncio.Protocol):
+class ClientSide(BoundedReader):
     """One connection of the application, one request at a time."""
 
     def __init__(self, frontend: Frontend) -> None:
@@ -148,6 +161,14 @@
         self._poll = select.poll()
         self._request: h11.Request | None = None
         self._body = bytearray()
+        self._received = 0  # of the body
+        self._began = 0.0  # when the client's time to send began
+        self._upload: Upload | None = None  # a body that passes through and has not come to its end
+        self._held_since: float | None = None  # since when the client is kept from sending
+        self._source: Source | None = None  # of the answer that passes through now
+        self._is_long = False  # whether the last answer passed through
+        self._unread = 0  # how much of it the client had not taken, and when that last got less
+        self._unread_since = 0.0
         self._owed: int | None = None  # the open request
         self._is_writing_paused = False
         self._ended = False  # no more is read from it
@@ -162,6 +183,12 @@
     def answer(self, status: int, headers: Headers, body: bytes) -> None:
         """Write the one answer to the open request."""
         self._owed = None
+        if self._upload is not None:
+            self._ended = True  # it is given up on before its end: no more of it is read
+            self._forget_upload()
+        if self._source is not None:
+            self.abort()  # it has the beginning of another
+            return
         if self._transport is None or self._transport.is_closing():
             return
         closing = self._frontend.is_draining or self._ended
@@ -180,6 +207,49 @@
             self._transport.abort()  # the client ended its side in a way that leaves no room for an answer
             return
         self._transport.write((head or b"") + (rest or b""))
+        self._answered(closing)
+
+    def begin(self, headers: Headers, length: int | None, first: bytes, source: Source) -> bool:
+        """Write the beginning of an answer that passes through; say whether the client is there for it."""
+        if self._transport is None or self._transport.is_closing():
+            return False
+        if self._frontend.is_draining or self._ended:
+            headers = [*headers, (b"connection", b"close")]
+        framing = (b"content-length", b"%d" % length) if length is not None else _CHUNKED
+        self._transport.set_write_buffer_limits(high=self._frontend.part)
+        self._source = source
+        self._is_long = True
+        try:
+            head = self._http.send(h11.Response(status_code=200, headers=[*headers, framing]))
+        except h11.LocalProtocolError:
+            self._source = None
+            return False  # the client ended its side in a way that leaves no room for an answer
+        self._transport.write(head or b"")
+        if first and not self.write(first):
+            source.pause()
+        return True
+
+    def write(self, data: bytes) -> bool:
+        """Pass on more of an answer; say whether more may follow at once."""
+        if self._transport is None or self._source is None or self._transport.is_closing():
+            return True  # nobody reads it
+        self._transport.write(self._http.send(h11.Data(data=data)) or b"")
+        return not self._is_writing_paused
+
+    def finish(self) -> None:
+        """The answer that passed through has come to its end."""
+        self._owed = self._source = None
+        if self._transport is None or self._transport.is_closing():
+            return
+        try:
+            self._transport.write(self._http.send(h11.EndOfMessage()) or b"")
+        except h11.LocalProtocolError:
+            self._transport.abort()  # it is shorter than its head says
+            return
+        self._answered(self._frontend.is_draining or self._ended)
+
+    def _answered(self, closing: bool) -> None:
+        assert self._transport is not None
         if self._ended:
             self._hang_up()
         elif self._http.our_state is h11.DONE and self._http.their_state is h11.DONE and not closing:
@@ -213,28 +283,62 @@
         else:
             self._reject(408)
 
+    def is_stalled(self, now: float) -> bool:
+        """Whether the client is too slow in sending a body, or in reading an answer that passes through."""
+        if self._is_writing_paused:
+            unread = self._unread_bytes()
+            if unread < self._unread or not self._unread:
+                self._unread, self._unread_since = unread, now
+            return now - self._unread_since > (STALLED_S if self._is_long else _WITHIN_S)
+        if self._http.their_state is not h11.SEND_BODY or self._ended:
+            return False
+        if self._held_since is not None:
+            return now - self._held_since > 2 * STALLED_S  # what it waits for should be given up by now
+        return self.lag(now) > _BODY_WITHIN_S
+
+    @property
+    def is_sending(self) -> bool:
+        """Whether the client is sending a body of which nothing was sent on."""
+        return self._owed is None and self._request is not None and not self._is_writing_paused
+
+    def lag(self, now: float) -> float:
+        """How long the client has taken beyond what the body needs at the least pace."""
+        return now - self._began - self._received / _LEAST_PACE
+
+    def _unread_bytes(self) -> int:
+        """How much was written for the client and not taken by its machine."""
+        assert self._transport is not None
+        try:
+            descriptor = self._transport.get_extra_info("socket").fileno()
+            queued = fcntl.ioctl(descriptor, termios.TIOCOUTQ, b"\0" * 4)
+        except OSError:
+            queued = b""  # the system does not tell
+        return self._transport.get_write_buffer_size() + int.from_bytes(queued, sys.byteorder)
+
     # What the event loop calls
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._began = asyncio.get_running_loop().time()
         self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
         self._frontend.opened(self)
 
     def data_received(self, data: bytes) -> None:
         if self._ended:
             return
-        if self._owed is not None:
+        if self._owed is not None and self._upload is None:
             self._ended = True  # what comes beside an open request is no request: its answer is the last
             return
-        if self._request is None:
-            self._frontend.at_work(self)
+        if self._request is None and self._frontend.at_work(self):
+            self._began = asyncio.get_running_loop().time()
         self._http.receive_data(data)
         self._advance()
 
     def pause_writing(self) -> None:
         self._is_writing_paused = True
-        self._frontend.waits_for(self)
+        self._unread = 0  # measured from now on
+        self._frontend.watch(self)
         if self._transport is not None:
             self._transport.pause_reading()
 
@@ -242,8 +346,11 @@
         self._is_writing_paused = False
         if self._transport is None or self._transport.is_closing():
             return
-        self._transport.resume_reading()
-        if not self._ended:
+        if self._held_since is None:
+            self._transport.resume_reading()
+        if self._source is not None:
+            self._source.resume()
+        elif not self._ended:
             self._frontend.taken(self)
             if self._owed is None and self._request is None:
                 self._frontend.at_rest(self)
@@ -276,13 +383,16 @@
         return int.from_bytes(info[_LAST_DATA_RECEIVED:], sys.byteorder) * 1_000
 
     def _gone(self) -> None:
+        self._forget_upload()
+        self._source = None
         owed, self._owed = self._owed, None
         if owed is not None:
             self._frontend.gone(owed)
 
     def _advance(self) -> None:
         """Read on as far as what has come allows."""
-        while self._owed is None and not self._ended and self._transport is not None:
+        while (self._owed is None or self._upload is not None) and not self._ended:
+            assert self._transport is not None
             if self._is_writing_paused:
                 return  # guards against a client that asks on and on, and reads no answer
             try:
@@ -297,20 +407,87 @@
                 return
             if isinstance(event, h11.Request):
                 self._request = event
+                self._received = 0
+                self._is_long = False
+                self._frontend.watch(self)
                 length = next((value for name, value in event.headers if name == b"content-length"), b"0")
                 if is_framed_ambiguously(event):
                     self._reject(400)
-                elif int(length) > MOST_BODY:
+                elif int(length) > LONGEST:
                     self._reject(413)
+                elif int(length) > KEPT:
+                    self._take_upload(int(length))
             elif isinstance(event, h11.Data):
-                self._body += event.data
-                if len(self._body) > MOST_BODY:
-                    self._reject(413)
+                self._take(event.data)
             elif isinstance(event, h11.EndOfMessage):
-                self._taken()
+                if self._upload is None:
+                    self._taken()
+                else:
+                    self._uploaded()
             else:  # paused, or closed
                 return
 
+    def _take(self, data: bytes) -> None:
+        """A piece of the body."""
+        self._received += len(data)
+        if self._received > LONGEST:
+            self._reject(413)
+        elif self._upload is not None:
+            self._upload.feed(bytes(data))
+        else:
+            self._body += data
+            if len(self._body) > KEPT:
+                self._take_upload(None)
+
+    def _take_upload(self, length: int | None) -> None:
+        """Take a request whose body is too long to be kept, before it has come to its end."""
+        assert self._request is not None
+        upload = Upload(length, self._hold, self._let_send)
+        try:
+            incoming = self._frontend.read(self._request, upload)
+        except BadRequest as fault:
+            self._reject(400, f"{fault}\n".encode())
+            return
+        first, self._body = bytes(self._body), bytearray()
+        self._upload = upload
+        if first:
+            upload.feed(first)
+        owed = self._frontend.arrived(self, incoming)
+        if self._upload is not None:  # else it has its answer already
+            self._owed = owed
+
+    def _uploaded(self) -> None:
+        """The last byte of such a body is here."""
+        upload, self._upload = self._upload, None
+        assert upload is not None and self._owed is not None
+        if self._http.trailing_data[0]:
+            self._upload = upload
+            self._reject(400, b"more came than one request\n")
+            return
+        self._frontend.taken(self)
+        self._let_send()
+        upload.end()
+        if self._owed is not None:
+            self._frontend.completed(self._owed, self._waited_us())
+
+    def _hold(self) -> None:
+        """Read no more of the body for now: whoever takes it is slower."""
+        if self._held_since is None and self._upload is not None and self._transport is not None:
+            self._held_since = asyncio.get_running_loop().time()
+            self._transport.pause_reading()
+
+    def _let_send(self) -> None:
+        if self._held_since is None or self._transport is None:
+            return
+        self._began += asyncio.get_running_loop().time() - self._held_since  # that was not the client's time
+        self._held_since = None
+        if not self._is_writing_paused and not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def _forget_upload(self) -> None:
+        self._upload = None
+        self._let_send()
+
     def _taken(self) -> None:
         assert self._request is not None
         if self._http.trailing_data[0]:
@@ -339,6 +516,9 @@
     def _reject(self, status: int, why: bytes = b"") -> None:
         """Answer what is no request of this protocol, then hang up: no more of it may pass for one."""
         self._ended = True
+        owed, self._owed = self._owed, None
+        if owed is not None:
+            self._frontend.gone(owed)  # its end is missing, or wrong
         self.answer(status, [], why)
 
     def _hang_up(self) -> None:
@@ -365,13 +545,17 @@
         self,
         settings: Settings,
         most: int,
+        memory_mb: int,
         on_arrival: Callable[[ClientSide, Incoming], int | None],
+        on_complete: Callable[[int, int], None],
         on_gone: Callable[[int], None],
     ) -> None:
+        self.part = part_of_budget(memory_mb, most)
         self._settings = settings
         self._classes = {each.name: each for each in settings.classes}
         self._most = most
         self.arrived = on_arrival
+        self.completed = on_complete
         self.gone = on_gone
         self.is_draining = False  # every further answer closes its connection
         self.is_evacuated = False  # and clients are told to go elsewhere
@@ -379,6 +563,7 @@
         # Answered, and nothing more came; and those whose client has something to do: the longest first.
         self._at_rest: dict[ClientSide, float] = {}
         self._waiting: dict[ClientSide, float] = {}
+        self._watched: dict[ClientSide, None] = {}  # their clients are about a body, at a pace of their own
         self._sweep: asyncio.TimerHandle | None = None
         self._listener: Listener | None = None
         self.last_opened = 0.0
@@ -395,7 +580,7 @@
     def takes_clients(self) -> bool:
         return self._listener is not None and not self.is_draining
 
-    def read(self, event: h11.Request, body: bytes) -> Incoming:
+    def read(self, event: h11.Request, body: bytes | Upload) -> Incoming:
         return read_request(event, body, self._settings, self._classes)
 
     def drain(self) -> None:
@@ -437,24 +622,34 @@
         self.waits_for(connection)
         self._sweep_later()
 
-    def at_work(self, connection: ClientSide) -> None:
-        """The first bytes of a request came."""
-        if self._at_rest.pop(connection, None) is not None:
-            self.waits_for(connection)
+    def at_work(self, connection: ClientSide) -> bool:
+        """The first bytes of a request came; say whether the connection was at rest."""
+        if self._at_rest.pop(connection, None) is None:
+            return False
+        self.waits_for(connection)
+        return True
 
     def waits_for(self, connection: ClientSide) -> None:
         """The client has something to do, within its time from now."""
         if connection in self._connections:
-            self._waiting.pop(connection, None)
+            self.taken(connection)
             self._waiting[connection] = asyncio.get_running_loop().time()
 
+    def watch(self, connection: ClientSide) -> None:
+        """The client sends or reads a body, which takes its time, but must go on."""
+        if connection in self._connections:
+            self.taken(connection)
+            self._watched[connection] = None
+
     def taken(self, connection: ClientSide) -> None:
         """The client has done its part."""
         self._waiting.pop(connection, None)
+        self._watched.pop(connection, None)
         self._at_rest.pop(connection, None)
 
     def at_rest(self, connection: ClientSide) -> None:
         if connection in self._connections:
+            self.taken(connection)
             self._at_rest[connection] = asyncio.get_running_loop().time()
 
     def close_overdue(self, now: float) -> None:
@@ -465,13 +660,17 @@
         for each in _older(self._waiting, now - _WITHIN_S):
             del self._waiting[each]
             each.overdue()
+        for each in [each for each in self._watched if each.is_stalled(now)]:
+            self._watched.pop(each, None)
+            each.overdue()
         for each in _older(self._at_rest, now - _AT_REST_S):
             if each.is_idle:
                 each.close()
 
     def _sweep_later(self) -> None:
         if self._sweep is None:
-            self._sweep = asyncio.get_running_loop().call_later(_SWEEP_S, self._sweep_now)
+            span_s = _SWEEP_SOON_S if self._watched else _SWEEP_S
+            self._sweep = asyncio.get_running_loop().call_later(span_s, self._sweep_now)
 
     def _sweep_now(self) -> None:
         self._sweep = None
@@ -481,8 +680,7 @@
 
     def closed(self, connection: ClientSide) -> None:
         self._connections.pop(connection, None)
-        self._at_rest.pop(connection, None)
-        self._waiting.pop(connection, None)
+        self.taken(connection)
 
     def _make_room(self) -> bool:
         """Let one connection go that loses no request by it, if there is one.
@@ -492,7 +690,9 @@
         waiting = next(iter(self._waiting), None)
         late = waiting is not None and self.last_opened - self._waiting[waiting] > _YOUNG_S
         resting = next((each for each in islice(self._at_rest, _LOOKS) if each.is_idle), None)
-        spare = waiting if late else resting or waiting
+        sending = [each for each in islice(self._watched, _LOOKS) if each.is_sending]
+        behind = max(sending, key=lambda each: each.lag(self.last_opened), default=None)
+        spare = waiting if late else resting or waiting or behind
         if spare is None:
             return False
         if spare is resting:
--- a/micadeck/listener.py
+++ b/micadeck/listener.py
@@ -47,7 +47,7 @@
     Another process may accept from the same socket: it is never shut down, and its queue is left as it is.
     """
 
-    def __init__(self, own: socket.socket, made: Callable[[], asyncio.Protocol]) -> None:
+    def __init__(self, own: socket.socket, made: Callable[[], asyncio.BaseProtocol]) -> None:
         self._socket = own
         self._made = made
         self._tasks: set[asyncio.Task[object]] = set()
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -14,6 +14,7 @@
 from magpiemux import Balancer
 from magpiemux.interface import (
     Action,
+    AnswerStarted,
     AttemptEnded,
     Cancel,
     CloseIdle,
@@ -31,6 +32,7 @@
     Refuse,
     ReportSource,
     RequestArrived,
+    RequestComplete,
     RequestGone,
     Send,
     ServerExcluded,
@@ -41,7 +43,7 @@
     TimerFired,
 )
 from micadeck import discovery
-from micadeck.client import Address, Headers, Message, Response
+from micadeck.client import Address, ClientConnection, Headers, Message, Response
 from micadeck.clock import Clock
 from micadeck.config import Config
 from micadeck.console import MOST_CALLERS, Console
@@ -49,6 +51,7 @@
 from micadeck.handover import Handover
 from micadeck.listener import bound
 from micadeck.peers import Peers
+from micadeck.stream import Sink
 from micadeck.telemetry import Telemetry
 from micadeck.upstream import Call, Upstream, load_report
 
@@ -66,13 +69,14 @@
 class _Open:
     """A request that was taken: until it is answered and its attempts have ended."""
 
-    __slots__ = ("calls", "client", "incoming", "last_outcome", "out")
+    __slots__ = ("calls", "client", "incoming", "last_outcome", "out", "streaming")
 
     def __init__(self, client: ClientSide, incoming: Incoming) -> None:
         self.client: ClientSide | None = client  # None: it has its answer, or left
         self.incoming = incoming
         self.calls: list[Call] = []
         self.out = 0
+        self.streaming: int | None = None  # the attempt whose answer passes through to the client
         self.last_outcome: Outcome | None = None
 
 
@@ -102,7 +106,10 @@
         sockets = config.sockets // 2 if held is not None else config.sockets
         room = sockets - _RESERVED - (MOST_CALLERS if self.console else 0)
         for_clients = int(min(sockets * _FOR_CLIENTS, room * _FOR_CLIENTS_LEFT))
-        self.frontend = Frontend(config.settings, for_clients, self._arrived, self._gone)
+        memory_mb = config.memory_mb // 2 if held is not None else config.memory_mb
+        self.frontend = Frontend(
+            config.settings, for_clients, memory_mb, self._arrived, self._completed, self._gone
+        )
         limits, written = config.settings.limits, self._telemetry.attempted
         self._upstream = Upstream(self._clock, limits, room - for_clients, written)
         self._discovery = discovery.Discovery(
@@ -297,11 +304,40 @@
                 cost_us=incoming.cost_us,
                 client_retry=incoming.client_retry,
                 write=incoming.method != b"GET",
+                arriving=incoming.upload is not None,
             )
         )
         return number if not self._is_answered(number) else None
 
+    def _completed(self, request: int, waited_us: int) -> None:
+        """The last byte of a body that passes through is here: the request's time begins."""
+        held = self._open[request]
+        now = self._clock.now()
+        remaining_us = max(held.incoming.remaining_us - waited_us, 1)
+        if self._stop_by is not None:
+            remaining_us = max(min(remaining_us, self._stop_by - now), 1)
+        for call in held.calls:
+            self._upstream.hurry(call, now + remaining_us)
+        self._post(RequestComplete(request, remaining_us))
+
+    def _answer_started(
+        self, request: int, attempt: int, source: ClientConnection, head: Response, length: int | None
+    ) -> Sink | None:
+        """An answer begins that is too long to be kept: it is the client's from here on, unless one was."""
+        held = self._open.get(request)
+        if held is None or held.client is None or held.streaming is not None:
+            return None
+        if not held.client.begin(_passed_back(head), length, head.body, source):
+            return None
+        held.streaming = attempt
+        call = held.calls[attempt]
+        self._post(AnswerStarted(request, attempt, call.server, self._clock.now() - call.sent_at))
+        return held.client
+
     def _gone(self, request: int) -> None:
+        held = self._open.get(request)
+        if held is not None and held.streaming is not None:
+            self._upstream.cancel(held.calls[held.streaming])  # nobody reads the rest
         self._settle(request)
         self._post(RequestGone(request))
         self._forget_if_over(request)
@@ -318,12 +354,27 @@
         held = self._open[request]
         held.out -= 1
         held.last_outcome = outcome
-        if outcome is Outcome.DELIVERED and response is not None:
+        if held.streaming == attempt:
+            self._streamed(request, outcome)
+        elif outcome is Outcome.DELIVERED and response is not None and held.streaming is None:
             self._answer(request, 200, _passed_back(response), response.body)
         report = load_report(response, self._settings.report_columns)
         elapsed = self._clock.now() - sent_at
         # Whether it is answered is looked up when the event's turn comes.
-        self._post(AttemptEnded(request, attempt, server, outcome, elapsed, False, report))
+        spent = held.incoming.upload is not None and held.incoming.upload.is_spent
+        self._post(AttemptEnded(request, attempt, server, outcome, elapsed, False, report, spent))
+
+    def _streamed(self, request: int, outcome: Outcome) -> None:
+        """An answer that passed through is over: whole, or the client has to see that it is not."""
+        client = self._settle(request)
+        if client is None:
+            return
+        whole = outcome is Outcome.DELIVERED
+        self._telemetry.answered(self._open[request].incoming.service_class, 200 if whole else 502)
+        if whole:
+            client.finish()
+        else:
+            client.abort()
 
     # Actions
 
@@ -365,7 +416,11 @@
         def done(outcome: Outcome, response: Response | None) -> None:
             self._attempt_ended(number, attempt, action.server, sent_at, outcome, response)
 
-        call = Call(action.server, action.until, held.incoming.message, done)
+        def begun(source: ClientConnection, head: Response, length: int | None) -> Sink | None:
+            return self._answer_started(number, attempt, source, head, length)
+
+        call = Call(action.server, action.until, held.incoming.message, done, begun)
+        call.sent_at = sent_at
         held.calls.append(call)
         held.out += 1
         self._upstream.start(call)
--- a/micadeck/upstream.py
+++ b/micadeck/upstream.py
@@ -11,21 +11,46 @@
 from micadeck.client import Address, ClientConnection, Failure, Message, Response
 from micadeck.clock import Clock
 from micadeck.discovery import Listing
+from micadeck.stream import KEPT, STALLED_S, Sink
 
-MOST_BODY = 64 << 10
 _IDLE_MARGIN = 0.1  # of the idle limit: a connection this near to it may be closed at the far end by now
 # What says that this machine, not the server, had no room for a connection.
 _OWN_FAULTS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 
 Done = Callable[[Outcome, Response | None], None]
+# An answer begins that passes through: where from, its head and first bytes, and its length if that is known.
+Begun = Callable[[ClientConnection, Response, int | None], Sink | None]
 
 
 class Call:
     """One request to one server.  `done` is called exactly once, never from within `start` or `cancel`."""
 
-    __slots__ = ("connection", "done", "ended", "message", "server", "timer", "until")
-
-    def __init__(self, server: str, until: int, message: Callable[[int], Message], done: Done) -> None:
+    __slots__ = (
+        "begun",
+        "connection",
+        "done",
+        "ended",
+        "message",
+        "moved",
+        "sent_at",
+        "server",
+        "stalled_at",
+        "timer",
+        "until",
+    )
+
+    def __init__(
+        self,
+        server: str,
+        until: int,
+        message: Callable[[int], Message],
+        done: Done,
+        begun: Begun | None = None,
+    ) -> None:
+        self.begun = begun
+        self.moved = -1  # of its body when that was last looked at
+        self.sent_at = 0  # by the clock, for whoever asked for it
+        self.stalled_at = 0  # and since when nothing more moved
         self.server = server
         self.until = until
         self.message = message  # given the time left, in microseconds
@@ -125,7 +150,7 @@
         if server is None or server.is_leaving or server.is_excluded or left_us <= 0:
             loop.call_soon(self._end, call, Outcome.UNSENT)
             return
-        call.timer = loop.call_later(left_us / 1e6, self._expire, call)
+        self._set_expiry(call)
         connection = self._take(server)
         if connection is not None:
             self._write(call, connection)
@@ -148,6 +173,19 @@
             call.connection.close()
         asyncio.get_running_loop().call_soon(call.done, Outcome.CANCELLED, None)
 
+    def hurry(self, call: Call, until: int) -> None:
+        """Wait no longer than until then."""
+        is_answered = call.connection is not None and call.connection.is_passing_on
+        if not call.ended and not is_answered and until < call.until:
+            call.until = until
+            self._set_expiry(call)
+
+    def _set_expiry(self, call: Call) -> None:
+        if call.timer is not None:
+            call.timer.cancel()
+        left_s = max(call.until - self._clock.now(), 0) / 1e6
+        call.timer = asyncio.get_running_loop().call_later(left_s, self._expire, call)
+
     def close_idle(self, name: str) -> None:
         server = self._servers.get(name)
         if server is not None:
@@ -181,8 +219,36 @@
         def ended(how: Response | Failure) -> None:
             self._end(call, _outcome(how), how if isinstance(how, Response) else None)
 
+        def started(source: ClientConnection, head: Response, length: int | None) -> Sink | None:
+            sink = call.begun(source, head, length) if call.begun is not None else None
+            if sink is not None:
+                self._watch(call)
+            return sink
+
         call.connection = connection
-        connection.exchange(call.message(max(call.until - self._clock.now(), 1_000)), ended, self._on_written)
+        message = call.message(max(call.until - self._clock.now(), 1_000))
+        connection.exchange(message, ended, self._on_written, started if call.begun is not None else None)
+        if message.upload is not None and not message.upload.is_whole:
+            self._watch(call)
+
+    def _watch(self, call: Call) -> None:
+        """A body passes through: what counts from now on is that it goes on, not how long it takes."""
+        if call.timer is not None:
+            call.timer.cancel()
+        call.moved = -1
+        self._look(call)
+
+    def _look(self, call: Call) -> None:
+        """Give the call up when its server has taken or given nothing for long."""
+        if call.ended or call.connection is None:
+            return
+        now, moved = self._clock.now(), call.connection.moved
+        if moved != call.moved or not call.connection.is_waiting_for_server:
+            call.moved, call.stalled_at = moved, now
+        if now - call.stalled_at >= STALLED_S * 1e6:
+            call.connection.give_up()
+            return
+        call.timer = asyncio.get_running_loop().call_later(STALLED_S / 10, self._look, call)
 
     # Connections
 
@@ -192,7 +258,7 @@
         try:
             async with asyncio.timeout(self._dial_within_s):
                 _, connection = await asyncio.get_running_loop().create_connection(
-                    lambda: ClientConnection(MOST_BODY, self._freed, self._closed), *server.address
+                    lambda: ClientConnection(KEPT, self._freed, self._closed), *server.address
                 )
         except (OSError, TimeoutError) as fault:
             if isinstance(fault, OSError) and fault.errno in _OWN_FAULTS:
