--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -1009,7 +1009,7 @@
                 self._place(request)
             elif not request.is_out():
                 self._finish(request)
-            if full and request.answered:
+            if full and request.answered and not request.spent:
                 self._feel(LOST_SPENT)  # no redraw found room: the fleet is full, not one server
         self._forget_if_over(request)
 
--- a/micadeck/client.py
+++ b/micadeck/client.py
@@ -277,7 +277,7 @@
         length = _length(head)
         if length is not None and length > self._most_bytes:
             self._pass_on(length)
-        elif length is None and self._on_started is not None:
+        elif length is None and self._on_started is not None and head.status_code == 200:
             self._holding = asyncio.get_running_loop().call_later(_HELD_S, self._pass_on, None)
 
     def _take(self, data: bytes) -> None:
@@ -295,7 +295,12 @@
         self._stop_holding()
         if self._sink is not None or self._head is None or self._ended is None:
             return
-        if self._on_started is None or self._head.status_code != 200:
+        if self._head.status_code != 200:
+            ended = self._ended
+            self.close()
+            ended(Response(self._head.status_code, list(self._head.headers), b""))  # its head says it all
+            return
+        if self._on_started is None:
             self._fail(Failure.GARBLED)
             return
         begun = Response(200, list(self._head.headers), bytes(self._body))
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -200,7 +200,9 @@
 
     def figures(self) -> dict[str, object]:
         members, unavailable = self._balancer.members()
-        return self._telemetry.figures(self._owed, members, unavailable)
+        uploads = (each.incoming.upload for each in self._open.values() if each.client is not None)
+        arriving = sum(upload is not None and not upload.is_whole for upload in uploads)
+        return self._telemetry.figures(self._owed - arriving, members, unavailable)
 
     def exclude(self, member: str) -> bool:
         """Send nothing more to a server; no if it was never listed."""
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -9,6 +9,7 @@
 from helpers import MS, S, Stage, names, settings
 from loopback import HOST, OK, Client, Heard, line, play, read_head, request, soon, stage, until
 from loopback import Stage as Scene
+from test_evacuation import health
 
 from magpiemux.interface import (
     AnswerStarted,
@@ -21,7 +22,7 @@
     RequestComplete,
     RequestGone,
 )
-from micadeck import stream, upstream
+from micadeck import client, stream, upstream
 from micadeck.stream import Upload, part_of_budget
 
 LONG = 3 << 20
@@ -323,6 +324,47 @@
     play(work)
 
 
+def test_a_slow_refusal_of_unknown_length_is_a_refusal(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against passing on, and so misreading, what is no answer of a server to the client.
+    monkeypatch.setattr(client, "_HELD_S", 0.0)
+
+    async def work() -> None:
+        release = asyncio.Event()
+
+        async def script(heard: Heard) -> bytes:
+            head = b"HTTP/1.1 503 Full\r\nNot-Started: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            heard.writer.write(head + b"3\r\nful\r\n")
+            await release.wait()
+            return b"1\r\nl\r\n0\r\n\r\n"
+
+        async with stage(script) as scene:
+            asking = await scene.client()
+            asking.send(request("lodge"))
+            await until(lambda: len(scene.heard) == 1)
+            assert await health(await scene.client()) == 200  # some rounds of the event loop
+            release.set()
+            assert (await asking.answer()).status == 503
+
+    play(work)
+
+
+def test_a_body_that_is_still_arriving_is_not_pending_yet() -> None:
+    async def work() -> None:
+        taker = Taker()
+        server = await taker.start()
+        async with stage(listed=False) as scene:
+            await list_only(scene, f"{HOST}:{server.sockets[0].getsockname()[1]}")
+            sender = await scene.client()
+            sender.send(request("lodge", body=BODY)[:-1])
+            await until(lambda: taker.begun == 1)
+            assert scene.sidecar.figures()["pending"] == 0
+            sender.send(BODY[-1:])
+            assert (await sender.answer()).status == 200
+        server.close()
+
+    play(work)
+
+
 class Taker:
     """A server that takes long bodies: what it read, whole or not."""
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -44,6 +44,7 @@
         (b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 502),
         (b"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + b"x" * 70_000, 200),
         (b"HTTP/1.1 500 No\r\nContent-Length: 70000\r\n\r\n" + b"x" * 70_000, 502),
+        (b"HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 70000\r\n\r\n" + b"x" * 70_000, 503),
         (b"HTTP/1.1 100 Continue\r\n\r\n" + OK, 200),
     ],
 )
