Leave the time that an answer lay unread here out of its server's

At fault: `_attempt_ended` took an answer's time until the event loop had read it, so the delay of a storm of refusals shut the window that made the storm.

Ruled out: full servers (none said so), stuck connections (105 of 115 at rest), the limit on connections (reached by the repeats only). Not taken: a floor under the window, or longer advice to stay away: retuning of the symptom.

The kernel's TCP_INFO tells how long the last bytes lay unread.

--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -581,7 +581,7 @@
         # The server has done its work; how long the rest takes is a matter of size, and of who reads it.
         attempt.started = True
         self._put_down(attempt)
-        self._served(request, attempt, self._now - attempt.sent_at)
+        self._served(request, attempt, min(event.elapsed_us, self._now - attempt.sent_at))
         self._judge(attempt, Outcome.DELIVERED)
         for other in request.attempts:
             if other.pending and not other.started and self._settings.limits.may_cancel:
--- a/micadeck/client.py
+++ b/micadeck/client.py
@@ -9,6 +9,7 @@
 import ipaddress
 import select
 import socket
+import sys
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum, unique
@@ -38,6 +39,19 @@
     return host.strip("[]"), number
 
 
+_LAST_DATA_RECEIVED = 52  # where struct tcp_info has how many milliseconds ago the last data came
+
+
+def unread_for_us(transport: asyncio.BaseTransport) -> int:
+    """How long the last bytes that were read lay in the socket before that, to some milliseconds.
+
+    Guards against taking the delay of a busy event loop for the far end's.
+    """
+    read = transport.get_extra_info("socket").getsockopt
+    info = read(socket.IPPROTO_TCP, socket.TCP_INFO, _LAST_DATA_RECEIVED + 4)
+    return int.from_bytes(info[_LAST_DATA_RECEIVED:], sys.byteorder) * 1_000
+
+
 def is_framed_ambiguously(head: h11.Request | h11.Response) -> bool:
     """Whether readers may differ on where the body ends: what one takes for body is a message to another.
 
@@ -65,6 +79,7 @@
     status: int
     headers: Headers
     body: bytes
+    unread_us: int = 0  # how long its last bytes lay in the socket
 
     def header(self, name: bytes) -> bytes | None:
         return next((value for key, value in self.headers if key == name), None)
@@ -303,7 +318,9 @@
         if self._on_started is None:
             self._fail(Failure.GARBLED)
             return
-        begun = Response(200, list(self._head.headers), bytes(self._body))
+        assert self._transport is not None
+        unread_us = unread_for_us(self._transport)
+        begun = Response(200, list(self._head.headers), bytes(self._body), unread_us)
         self._body = bytearray()
         self._sink = self._on_started(self, begun, length)
         if self._sink is None:
@@ -331,8 +348,9 @@
             told()
 
     def _answered(self) -> None:
-        assert self._head is not None
-        response = Response(self._head.status_code, list(self._head.headers), bytes(self._body))
+        assert self._head is not None and self._transport is not None
+        unread_us = unread_for_us(self._transport)
+        response = Response(self._head.status_code, list(self._head.headers), bytes(self._body), unread_us)
         self._body = bytearray()
         ended, self._ended = self._ended, None
         reusable = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
--- a/micadeck/frontend.py
+++ b/micadeck/frontend.py
@@ -17,13 +17,12 @@
 import h11
 
 from magpiemux.interface import Repeat, ServiceClass, Settings
-from micadeck.client import Headers, Message, is_framed_ambiguously
+from micadeck.client import Headers, Message, is_framed_ambiguously, unread_for_us
 from micadeck.listener import Listener
 from micadeck.stream import KEPT, LONGEST, STALLED_S, BoundedReader, Source, Upload, part_of_budget
 
 _YOUNG_S = 0.25  # a connection that waits for its request for longer goes before one at rest
 _LEFT = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # the other end is closed
-_LAST_DATA_RECEIVED = 52  # where struct tcp_info has how many milliseconds ago the last data came
 _LOOKS = 8  # connections at rest that are looked at for one to let go
 _WITHIN_S = 2.4  # to send a head, to read some of an answer, or to end what was refused unread
 _BODY_WITHIN_S = 2.7  # to send head and body, and the time that the body takes at the least pace
@@ -374,14 +373,6 @@
         """
         return any(seen & _LEFT for _, seen in self._poll.poll(0))
 
-    def _waited_us(self) -> int:
-        """How long the last byte lay in the socket before it was read, to some milliseconds."""
-        assert self._transport is not None
-        info = self._transport.get_extra_info("socket").getsockopt(
-            socket.IPPROTO_TCP, socket.TCP_INFO, _LAST_DATA_RECEIVED + 4
-        )
-        return int.from_bytes(info[_LAST_DATA_RECEIVED:], sys.byteorder) * 1_000
-
     def _gone(self) -> None:
         self._forget_upload()
         self._source = None
@@ -468,7 +459,8 @@
         self._let_send()
         upload.end()
         if self._owed is not None:
-            self._frontend.completed(self._owed, self._waited_us())
+            assert self._transport is not None
+            self._frontend.completed(self._owed, unread_for_us(self._transport))
 
     def _hold(self) -> None:
         """Read no more of the body for now: whoever takes it is slower."""
@@ -510,7 +502,8 @@
             self._reject(400, f"{fault}\n".encode())
             return
         # The client's time runs from when it sent the request, not from when that was read.
-        incoming.remaining_us = max(incoming.remaining_us - self._waited_us(), 1)
+        assert self._transport is not None
+        incoming.remaining_us = max(incoming.remaining_us - unread_for_us(self._transport), 1)
         self._owed = self._frontend.arrived(self, incoming)
 
     def _reject(self, status: int, why: bytes = b"") -> None:
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -333,7 +333,8 @@
             return None
         held.streaming = attempt
         call = held.calls[attempt]
-        self._post(AnswerStarted(request, attempt, call.server, self._clock.now() - call.sent_at))
+        elapsed = max(self._clock.now() - head.unread_us - call.sent_at, 0)
+        self._post(AnswerStarted(request, attempt, call.server, elapsed))
         return held.client
 
     def _gone(self, request: int) -> None:
@@ -361,7 +362,9 @@
         elif outcome is Outcome.DELIVERED and response is not None and held.streaming is None:
             self._answer(request, 200, _passed_back(response), response.body)
         report = load_report(response, self._settings.report_columns)
-        elapsed = self._clock.now() - sent_at
+        # The server's time: a busy event loop reads answers late, which is no fault of any server.
+        unread_us = response.unread_us if response is not None else 0
+        elapsed = max(self._clock.now() - unread_us - sent_at, 0)
         # Whether it is answered is looked up when the event's turn comes.
         spent = held.incoming.upload is not None and held.incoming.upload.is_spent
         self._post(AttemptEnded(request, attempt, server, outcome, elapsed, False, report, spent))
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -125,6 +125,21 @@
     play(work)
 
 
+def test_the_time_that_an_answer_lay_unread_is_not_its_servers(
+    scripted: Use, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against windows that shut, and servers held for slow, because this process is busy.
+    async def work() -> None:
+        balancer = scripted(on_arrival(lambda number: Send(number, "s-0", FAR)))
+        monkeypatch.setattr("micadeck.client.unread_for_us", lambda transport: 3_600_000_000)
+        async with stage(OK) as scene:
+            assert (await scene.ask()).status == 200
+            (ended,) = balancer.heard(AttemptEnded)
+            assert (ended.outcome, ended.elapsed_us) == (Outcome.DELIVERED, 0)
+
+    play(work)
+
+
 def test_only_the_first_delivery_is_the_answer_and_every_attempt_ends(scripted: Use) -> None:
     async def work() -> None:
         balancer = scripted(
