Let a process that is alone have all descriptors, and tell by a lock whether it is

At fault: half of the descriptors were given for good wherever the platform holds the socket. Each process now holds a lock on $TMPDIR/alive.PID; only while two live do they halve the connections to servers. Clients keep their third of all together, since they move from one process to the other within a moment.

Not taken, both tried: to halve the clients' connections while two live, and to let the old one take no more than it has.

--- a/micadeck/listener.py
+++ b/micadeck/listener.py
@@ -95,7 +95,7 @@
                 self._again = self._loop.call_later(_AGAIN_S, self._accept_more)
                 return
             if _has_left(connection):
-                # Guards against collapse: in a rush many give up while they queue, and cost as much as others.
+                # Guards against collapse: in a rush many give up while they queue, and cost no less.
                 connection.close()
                 continue
             connection.setblocking(False)
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -51,6 +51,7 @@
 from micadeck.handover import Handover
 from micadeck.listener import bound
 from micadeck.peers import Peers
+from micadeck.presence import Presence
 from micadeck.stream import Sink
 from micadeck.telemetry import Telemetry
 from micadeck.upstream import Call, Upstream, load_report
@@ -58,6 +59,7 @@
 _RESERVED = 48  # descriptors for everything but clients, servers and the operators' door
 _FOR_CLIENTS = 1 / 3  # of all, as the platform's terms allow at the most
 _FOR_CLIENTS_LEFT = 0.5  # and of what is not reserved, where that is less
+_LOOK_EVERY_S = 0.1  # for another process of this sidecar
 _PROBE_WITHIN_US = 1_000_000
 _NEW_FOR_S = 0.4  # how long after SIGTERM new connections may go on coming
 _QUIET_S = 0.05  # and how long none must have come before the listener closes
@@ -102,16 +104,19 @@
         self._handover: Handover | None = None
         if self.console is not None and config.folder is not None:
             self._handover = Handover(config.folder, log)
+        self._presence: Presence | None = None
+        if held is not None and config.folder is not None:
+            self._presence = Presence(config.folder, log)
+        self._looking: asyncio.TimerHandle | None = None
         # At an upgrade two processes are one sidecar, and have its descriptors together.
-        sockets = config.sockets // 2 if held is not None else config.sockets
-        room = sockets - _RESERVED - (MOST_CALLERS if self.console else 0)
-        for_clients = int(min(sockets * _FOR_CLIENTS, room * _FOR_CLIENTS_LEFT))
+        self._is_alone = self._presence is None or self._presence.is_alone()
+        for_clients, for_servers = self._shares()
         memory_mb = config.memory_mb // 2 if held is not None else config.memory_mb
         self.frontend = Frontend(
             config.settings, for_clients, memory_mb, self._arrived, self._completed, self._gone
         )
         limits, written = config.settings.limits, self._telemetry.attempted
-        self._upstream = Upstream(self._clock, limits, room - for_clients, written)
+        self._upstream = Upstream(self._clock, limits, for_servers, written)
         self._discovery = discovery.Discovery(
             config.discovery,
             config.known.version,
@@ -126,6 +131,26 @@
             lambda number, payload: self._post(MessageReceived(number, payload)),
         )
 
+    def _shares(self) -> tuple[int, int]:
+        """How many connections this process may have to clients and to servers.
+
+        Of two processes each has half of those to servers.  Clients hold a third of all together, whichever
+        of the two they are connected to: at an upgrade they move from one to the other within a moment.
+        """
+        sockets = self._config.sockets
+        room = sockets - _RESERVED - (MOST_CALLERS if self.console else 0)
+        for_clients = int(min(sockets * _FOR_CLIENTS, room * _FOR_CLIENTS_LEFT))
+        return for_clients, (room - for_clients) // (1 if self._is_alone else 2)
+
+    def _look_around(self) -> None:
+        """See again and again whether there are two processes, and share with the other."""
+        assert self._presence is not None
+        self._looking = asyncio.get_running_loop().call_later(_LOOK_EVERY_S, self._look_around)
+        is_alone = self._presence.is_alone()
+        if is_alone != self._is_alone:
+            self._is_alone = is_alone
+            self._upstream.resize(self._shares()[1])
+
     async def start(self) -> None:
         """Take up the last known list, then listen."""
         if self._settings.limits.may_message and self._config.peer_listen is not None:
@@ -138,6 +163,8 @@
             self._taken_over(self._handover.read() or frozenset())
             if self._held is not None:
                 self._handover.watch(self._taken_over)
+        if self._presence is not None:
+            self._look_around()
         self._discovery.start()
         self.frontend.listen(self._held or bound(self._config.listen))
 
@@ -187,6 +214,10 @@
             self.console.close()
         if self._handover is not None:
             self._handover.close()
+        if self._looking is not None:
+            self._looking.cancel()
+        if self._presence is not None:
+            self._presence.close()
         self._discovery.close()
         self._peers.close()
         self._upstream.close()
--- a/micadeck/upstream.py
+++ b/micadeck/upstream.py
@@ -281,10 +281,17 @@
             connection.close()
             self._end(call, Outcome.DIAL_FAILED)
 
+    def resize(self, most: int) -> None:
+        """Have so many connections from now on; what is idle makes room, the longest first."""
+        self._most = most
+        while len(self._owners) + self._dialling > most and self._close_oldest():
+            pass
+
     def _has_room(self) -> bool:
         """Whether one more connection may be opened, at the price of the one that is idle for longest."""
-        if len(self._owners) + self._dialling < self._most:
-            return True
+        return len(self._owners) + self._dialling < self._most or self._close_oldest()
+
+    def _close_oldest(self) -> bool:
         oldest = min(
             (server for server in self._servers.values() if server.idle),
             key=lambda server: server.idle[0].since,
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -29,8 +29,11 @@
 )
 from test_program import GOOD, started
 
+from micadeck.config import parse
 from micadeck.handover import Handover
 from micadeck.listener import inherited
+from micadeck.presence import Presence
+from micadeck.sidecar import Sidecar
 
 
 @dataclass
@@ -218,3 +221,39 @@
     log: list[str] = []
     Handover(tmp_path / "missing", log.append).record("a", True, frozenset())
     assert len(log) == 1 and log[0].startswith("could not write the file of excluded servers: ")
+
+
+def test_a_process_that_lives_is_seen_and_one_that_ended_is_not(tmp_path: Path) -> None:
+    first = Presence(tmp_path, print, "first")
+    assert first.is_alone()
+    second = Presence(tmp_path, print, "second")
+    assert not first.is_alone() and not second.is_alone()
+    os.close(second._file)  # as when it is killed
+    assert first.is_alone()
+    first.close()
+    assert list(tmp_path.iterdir()) == []
+    log: list[str] = []
+    assert Presence(tmp_path / "missing", log.append).is_alone() and len(log) == 1
+
+
+def test_two_processes_share_the_descriptors_and_one_has_them_all(tmp_path: Path) -> None:
+    async def work() -> None:
+        given = {**GOOD, "limits": {"sockets": 160, "memory_mb": 64}}
+        with socket.socket() as held:
+            held.bind((HOST, 0))
+            held.listen(64)
+            other = Presence(tmp_path, print, "other")
+            config = parse(given, {"TMPDIR": str(tmp_path)})
+            sidecar = Sidecar(config, print, inherited(os.dup(held.fileno())))
+            await sidecar.start()
+            assert (sidecar.frontend._most, sidecar._upstream._most) == (53, 29)
+            other.close()
+            await until(lambda: sidecar._is_alone)
+            assert (sidecar.frontend._most, sidecar._upstream._most) == (53, 59)
+            other = Presence(tmp_path, print, "other")
+            await until(lambda: not sidecar._is_alone)
+            assert (sidecar.frontend._most, sidecar._upstream._most) == (53, 29)
+            other.close()
+            sidecar.close()
+
+    play(work)
