Let a process that ends go on passing long answers until they are over

At fault: `drain` aborted whatever was unanswered 0.1 s before SIGKILL may come, answers that had begun too. Those go on now, and the process ends when they are over, at the latest after ten minutes. The test fails without it.

--- a/micadeck/frontend.py
+++ b/micadeck/frontend.py
@@ -294,6 +294,13 @@
             return now - self._held_since > 2 * STALLED_S  # what it waits for should be given up by now
         return self.lag(now) > _BODY_WITHIN_S
 
+    @property
+    def is_passing_on(self) -> bool:
+        """Whether an answer passes through to the client, or the end of one is not written."""
+        if self._transport is None or not self._is_long:
+            return False
+        return self._source is not None or self._transport.get_write_buffer_size() > 0
+
     @property
     def is_sending(self) -> bool:
         """Whether the client is sending a body of which nothing was sent on."""
@@ -603,6 +610,11 @@
         if listener is not None:
             listener.close()
 
+    @property
+    def is_passing_on(self) -> bool:
+        """Whether a client is getting an answer that passes through."""
+        return any(each.is_passing_on for each in self._connections)
+
     @property
     def open_connections(self) -> int:
         return len(self._connections)
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -65,6 +65,7 @@
 _QUIET_S = 0.05  # and how long none must have come before the listener closes
 _KILLED_AFTER_S = 0.7  # SIGKILL comes no sooner after SIGTERM than this and the longest deadline
 _LONGEST_DEADLINE_S = 3.0  # as far as that is counted
+_LONG_ANSWERS_S = 600.0  # and the longest that an answer which passes through may hold up the end
 _SPARE_S = 0.1  # of that time, kept for writing the last answers
 
 
@@ -197,8 +198,13 @@
             if not self._owed:
                 self.frontend.close_idle()
             await asyncio.sleep(0.01)
-        for request in list(self._open):
-            self._answer(request, 504, [])  # the decisions had no word on it in time
+        for request, held in list(self._open.items()):
+            if held.streaming is None:
+                self._answer(request, 504, [])  # the decisions had no word on it in time
+        # What a server still gives is passed on until it is over, or this process is killed: whoever cuts it
+        # off loses it.
+        while self.frontend.is_passing_on and loop.time() < began + _LONG_ANSWERS_S:
+            await asyncio.sleep(0.01)
         await asyncio.sleep(0)
         self.close()
 
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -22,7 +22,7 @@
     RequestComplete,
     RequestGone,
 )
-from micadeck import client, stream, upstream
+from micadeck import client, sidecar, stream, upstream
 from micadeck.stream import Upload, part_of_budget
 
 LONG = 3 << 20
@@ -292,6 +292,37 @@
     play(work)
 
 
+def test_the_end_of_a_process_cuts_off_no_long_answer(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against losing what its server is still giving: whatever else has to be over, it goes on.
+    for name in ("_KILLED_AFTER_S", "_LONGEST_DEADLINE_S", "_NEW_FOR_S", "_SPARE_S"):
+        monkeypatch.setattr(sidecar, name, 0.0)
+
+    async def work() -> None:
+        release = asyncio.Event()
+
+        async def script(heard: Heard) -> bytes | None:
+            if heard.headers["request-class"] == "lodge":
+                return None
+            heard.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + b"a" * 90_000)
+            await release.wait()
+            return b"b" * 110_000
+
+        async with stage(script) as scene:
+            reading, waiting = await scene.client(), await scene.client()
+            reading.send(request("check", timeout="5"))
+            await soon(read_head(reading.reader))
+            waiting.send(request("lodge", timeout="5"))
+            await until(lambda: len(scene.heard) == 2)
+            ending = asyncio.create_task(scene.sidecar.drain())
+            assert (await waiting.answer()).status == 504
+            assert not ending.done()
+            release.set()
+            assert await soon(reading.reader.readexactly(200_000)) == b"a" * 90_000 + b"b" * 110_000
+            await soon(ending)
+
+    play(work)
+
+
 def test_a_client_that_leaves_in_a_long_answer_ends_the_exchange() -> None:
     async def work() -> None:
         async def script(heard: Heard) -> bytes:
