--- a/micadeck/__main__.py
+++ b/micadeck/__main__.py
@@ -12,6 +12,8 @@
 import socket
 import sys
 
+import uvloop
+
 from micadeck.config import Config, ConfigError, load
 from micadeck.listener import inherited
 from micadeck.sidecar import Sidecar
@@ -94,7 +96,7 @@
         print(f"micadeck: config: {fault}".replace("\n", " "), file=sys.stderr)
         return 2
     try:
-        asyncio.run(serve(config, held))
+        uvloop.run(serve(config, held))
     except OSError as fault:
         print(f"micadeck: can't listen: {fault}", file=sys.stderr)
         return 1
--- a/micadeck/http/reader.py
+++ b/micadeck/http/reader.py
@@ -44,6 +44,8 @@
         self._chunked: ChunkedBody | None = None
         self._left = 0  # of a body of known length
         self._keeps_alive = False
+        self.is_in_body = False  # a head was read, and its body not to the end
+        self.is_whole = False
         self._step: Callable[[], Head | bytes | Signal] = self._read_head
 
     def receive(self, data: bytes) -> None:
@@ -59,20 +61,13 @@
 
     def start_next(self) -> None:
         """Read a further message, once one is whole."""
+        self.is_whole = False
         self._step = self._read_head
 
     @property
     def is_between(self) -> bool:
         """Whether nothing of a message was received."""
-        return self._step == self._read_head and not self._part and not self._pending
-
-    @property
-    def is_in_body(self) -> bool:
-        return self._step not in (self._read_head, self._paused)
-
-    @property
-    def is_whole(self) -> bool:
-        return self._step == self._paused
+        return not (self.is_in_body or self.is_whole or self._part or self._pending)
 
     @property
     def has_more(self) -> bool:
@@ -122,6 +117,7 @@
 
     def _expect_body(self, length: int | None, is_chunked: bool, keeps_alive: bool) -> None:
         self._chunked = ChunkedBody() if is_chunked else None
+        self.is_in_body = True
         self._keeps_alive = keeps_alive and (is_chunked or length is not None)
         if is_chunked:
             self._step = self._read_chunks
@@ -161,6 +157,8 @@
 
     def _end(self) -> Head | bytes | Signal:
         self._step = self._paused
+        self.is_in_body = False
+        self.is_whole = True
         return Signal.END
 
     def _paused(self) -> Head | bytes | Signal:
