--- a/Makefile
+++ b/Makefile
@@ -37,4 +37,4 @@
 fuzz: setup
 	$(BIN)/pip install -q --disable-pip-version-check atheris==3.0.0
 	mkdir -p build/fuzz
-	$(BIN)/python fuzz/http.py -max_total_time=$(FUZZ_S) -artifact_prefix=build/ build/fuzz fuzz/corpus
+	$(BIN)/python fuzz/fuzz_codec.py -max_total_time=$(FUZZ_S) -artifact_prefix=build/ build/fuzz fuzz/corpus
--- /dev/null
+++ b/fuzz/fuzz_codec.py
@@ -0,0 +1,36 @@
+"""Coverage-guided fuzzing of the codec, with h11 as the oracle: `make fuzz`.
+
+The first byte of an input says whether the rest is a request or an answer and where it is cut.  What is found
+becomes a named case in `tests/test_http.py`, or a reason in `tests/oracle.py`.
+"""
+
+import sys
+from pathlib import Path
+
+import atheris
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path[:0] = [str(ROOT), str(ROOT / "tests")]
+
+with atheris.instrument_imports(include=["micadeck.http"]):
+    from oracle import disagreement, ours
+
+
+def one(data: bytes) -> None:
+    """Play one input; an exception is a finding."""
+    if len(data) < 3:
+        return
+    is_request, raw = data[0] % 2 == 0, data[1:]
+    wrong = disagreement(raw, is_request=is_request)
+    if wrong is not None:
+        raise AssertionError(wrong)
+    at = 1 + (data[0] >> 1) % (len(raw) - 1)
+    whole = ours([raw], is_request=is_request)
+    for parts in ([raw[:at], raw[at:]], [raw[each : each + 1] for each in range(len(raw))]):
+        if ours(parts, is_request=is_request) != whole:
+            raise AssertionError(f"cut as {parts!r:.300} it is something else")
+
+
+if __name__ == "__main__":
+    atheris.Setup(sys.argv, one)
+    atheris.Fuzz()
