--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -225,6 +225,24 @@
     play(work)
 
 
+def test_a_client_of_http_1_0_gets_a_long_answer_without_chunks_until_the_end() -> None:
+    # It can't read chunks; the end of the connection is the end of the answer.
+    async def work() -> None:
+        async def script(heard: Heard) -> None:
+            heard.writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + BODY)
+            heard.writer.close()
+
+        async with stage(script) as scene:
+            client = await scene.client()
+            client.send(request("check", timeout="5").replace(b"HTTP/1.1", b"HTTP/1.0", 1))
+            first, headers = await soon(read_head(client.reader))
+            assert first.split(" ")[1] == "200" and headers["connection"] == "close"
+            assert "transfer-encoding" not in headers and "content-length" not in headers
+            assert await soon(client.reader.read()) == BODY
+
+    play(work)
+
+
 def test_the_beginning_of_a_long_answer_is_passed_on_before_the_rest_has_come() -> None:
     async def work() -> None:
         release = asyncio.Event()
