Call what was written twice: newcomers at a drain, a process's end, a beginning of an answer

Read over, nothing behaves otherwise. `Sidecar._hear_newcomers` was called nowhere, and `drain` had its loop again: it calls it now. The bench's address stands in one file, the commit it compares with in one.

Left: the twin events ServerExcluded and ServerIncluded, and ProbeEnded's kin, are alike in shape only; the listener's look at a socket that has no transport yet stays apart from Wire, which costs more than the look.

--- a/Makefile
+++ b/Makefile
@@ -28,10 +28,9 @@
 	test -n "$$(find build/native -name 'balancer*.so')"
 	PYTHONPATH=build/native:. $(BIN)/python -P -m pytest
 
-# This tree beside the commit before the C parser, on pinned cores: `make bench AGAINST=COMMIT`.
-AGAINST ?= ee5be96
+# This tree beside the commit before the C parser, or another, on pinned cores: `make bench AGAINST=COMMIT`.
 bench: setup
-	$(BIN)/python -m bench --against $(AGAINST)
+	$(BIN)/python -m bench $(if $(AGAINST),--against $(AGAINST))
 
 # The codec against h11, guided by coverage, for FUZZ_S seconds; findings are left in build/.
 fuzz: setup
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -21,11 +21,10 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from bench.process import cpu_s, free_ports, held_to, resident_mb, started, wait_until_it_answers
+from bench.process import HOST, cpu_s, free_ports, held_to, resident_mb, started, wait_until_it_answers
 from bench.server import entry
 
 ROOT = Path(__file__).resolve().parent.parent
-HOST = "127.0.0.1"
 OPENING = "ee5be96"
 SIZES = {"get": 0, "post 1 KiB": 1 << 10, "post 64 KiB": 64 << 10}
 SERVERS = 8
--- a/bench/load.py
+++ b/bench/load.py
@@ -17,7 +17,8 @@
 
 import uvloop
 
-HOST = "127.0.0.1"
+from bench.process import HOST
+
 CONNECTIONS = 64
 PATIENCE_S = 1.0
 
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -13,7 +13,7 @@
 
 import uvloop
 
-HOST = "127.0.0.1"
+from bench.process import HOST
 
 
 class End(asyncio.Protocol):
--- a/bench/server.py
+++ b/bench/server.py
@@ -14,7 +14,8 @@
 
 import uvloop
 
-HOST = "127.0.0.1"
+from bench.process import HOST
+
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 6\r\n\r\nserved"
 _LENGTH = re.compile(rb"content-length: *([0-9]+)", re.IGNORECASE)
 
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -189,11 +189,7 @@
         self._stop_by = self._clock.now() + int(left_s * 1e6)
         self.frontend.drain()
         if self._held is None:
-            await asyncio.sleep(_NEW_FOR_S)
-            while (
-                loop.time() < self.frontend.last_opened + _QUIET_S and loop.time() < began + _KILLED_AFTER_S
-            ):
-                await asyncio.sleep(_QUIET_S / 2)
+            await self._hear_newcomers(began)
         # A socket that the platform holds goes on queueing, and the successor accepts what comes.
         self.frontend.stop_listening()
         while (self._owed or self.frontend.open_connections) and loop.time() < began + left_s:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -110,6 +110,13 @@
     )
 
 
+async def ended(process: asyncio.subprocess.Process) -> None:
+    """See to it that a process is over, if it is not yet."""
+    if process.returncode is None:
+        process.kill()
+        await process.wait()
+
+
 @asynccontextmanager
 async def program(script: Callable[[Heard], Any] | bytes, folder: Path) -> AsyncIterator[Program]:
     server = await ScriptedServer(script).start()
@@ -127,9 +134,7 @@
         assert told is not None, ready
         yield Program(process, int(told[1]), server)
     finally:
-        if process.returncode is None:
-            process.kill()
-            await process.wait()
+        await ended(process)
         server.stop()
         discovery.stop()
 
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -197,6 +197,7 @@
 
 
 BODY = bytes(range(256)) * (LONG // 256)
+BEGINNING = b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + b"a" * 90_000  # of 200,000
 
 
 @pytest.mark.parametrize("form", ["length", "chunks", "close"])
@@ -293,7 +294,7 @@
 def test_a_server_that_breaks_off_leaves_the_client_able_to_tell() -> None:
     async def work() -> None:
         async def script(heard: Heard) -> None:
-            heard.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + b"a" * 90_000)
+            heard.writer.write(BEGINNING)
             await heard.writer.drain()
             heard.writer.close()
 
@@ -321,7 +322,7 @@
         async def script(heard: Heard) -> bytes | None:
             if heard.headers["request-class"] == "lodge":
                 return None
-            heard.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + b"a" * 90_000)
+            heard.writer.write(BEGINNING)
             await release.wait()
             return b"b" * 110_000
 
@@ -344,7 +345,7 @@
 def test_a_client_that_leaves_in_a_long_answer_ends_the_exchange() -> None:
     async def work() -> None:
         async def script(heard: Heard) -> bytes:
-            return b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + b"a" * 90_000
+            return BEGINNING
 
         async with stage(script) as scene:
             client = await scene.client()
@@ -361,7 +362,7 @@
 
     async def work() -> None:
         async def script(heard: Heard) -> bytes:
-            return b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + b"a" * 90_000
+            return BEGINNING
 
         async with stage(script) as scene:
             client = await scene.client()
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -27,7 +27,7 @@
     soon,
     until,
 )
-from test_program import GOOD, started
+from test_program import GOOD, ended, started
 
 from micadeck.config import parse
 from micadeck.handover import Handover
@@ -101,9 +101,7 @@
             yield scene
         finally:
             for each in scene.running:
-                if each.process.returncode is None:
-                    each.process.kill()
-                    await each.process.wait()
+                await ended(each.process)
             for server in (*servers, discovery):
                 server.stop()
 
