--- /dev/null
+++ b/plumtrestle/__init__.py
@@ -0,0 +1,3 @@
+"""The proving ground of the sidecar: worlds, days played from them, and a judge of their logs."""
+
+__version__ = "0.1.0"
