--- /dev/null
+++ b/plumtrestle/emulator/copies.py
@@ -0,0 +1,382 @@
+"""Copies of the program as processes: started as the deploy file says, stopped, paused, killed, upgraded."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import ctypes
+import json
+import os
+import random
+import resource
+import signal
+import socket
+import subprocess
+import tomllib
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from plumtrestle import events as log
+from plumtrestle.clock import DayClock
+from plumtrestle.world.day import Copy, Day
+from plumtrestle.world.settings import settings
+
+_LOOK_S = 0.02
+_MOST_LOG = 4 << 20  # bytes kept of what one copy writes
+_LAST_LINES = 5
+_KILLED_AFTER_S = 0.7  # SIGKILL comes no sooner after SIGTERM than this and the longest deadline
+_LONGEST_DEADLINE_S = 3.0
+_PR_SET_PDEATHSIG, _PR_CAPBSET_DROP, _CAP_DAC_OVERRIDE = 1, 24, 1
+_LIBC = ctypes.CDLL(None)
+
+
+class PlayError(Exception):
+    """The day can't be played; the text says why, for whoever asked for it."""
+
+
+def deployed(root: Path) -> str:
+    """The command that starts one copy of the program in a tree; raise PlayError if there is none."""
+    try:
+        command = tomllib.loads((root / "deploy" / "balancer.toml").read_text())["run"]
+    except (OSError, KeyError, tomllib.TOMLDecodeError) as fault:
+        raise PlayError(f"{root}: no deploy/balancer.toml that names `run`: {fault}") from None
+    return str(command)
+
+
+class Process:
+    """One process of the program."""
+
+    def __init__(
+        self,
+        command: str,
+        root: Path,
+        environment: dict[str, str],
+        log_file: Path,
+        descriptors: tuple[int, ...],
+        ordinary: bool,
+    ) -> None:
+        """`ordinary`: even where this is root's, files that nobody may write are not written."""
+
+        def prepare() -> None:
+            _LIBC.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)  # nothing is left behind
+            if ordinary:
+                _LIBC.prctl(_PR_CAPBSET_DROP, _CAP_DAC_OVERRIDE)
+
+        self._popen = subprocess.Popen(
+            ["/bin/sh", "-c", command],
+            cwd=root,
+            env={**os.environ, **environment},
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.PIPE,
+            pass_fds=descriptors,
+            start_new_session=True,
+            preexec_fn=prepare,
+        )
+        self.ended = asyncio.Event()
+        self.killed = self.stopping = False
+        self._log_file = log_file
+        self._handle = os.pidfd_open(self._popen.pid)
+        asyncio.get_running_loop().add_reader(self._handle, self._over)
+        assert self._popen.stderr is not None
+        self._said = self._popen.stderr
+        os.set_blocking(self._said.fileno(), False)
+        asyncio.get_running_loop().add_reader(self._said.fileno(), self._hear)
+
+    @property
+    def pid(self) -> int:
+        return self._popen.pid
+
+    @property
+    def code(self) -> int | None:
+        return self._popen.returncode
+
+    def _over(self) -> None:
+        asyncio.get_running_loop().remove_reader(self._handle)
+        os.close(self._handle)
+        self._popen.wait()
+        self._hear()
+        self._deafen()
+        self.ended.set()
+
+    def _hear(self) -> None:
+        """Keep what it writes, up to a bound."""
+        try:
+            data = os.read(self._said.fileno(), 1 << 16)
+        except (BlockingIOError, ValueError):
+            return
+        if not data:
+            self._deafen()
+        elif not self._log_file.exists() or self._log_file.stat().st_size < _MOST_LOG:
+            with self._log_file.open("ab") as file:
+                file.write(data)
+
+    def _deafen(self) -> None:
+        if not self._said.closed:
+            asyncio.get_running_loop().remove_reader(self._said.fileno())
+            self._said.close()
+
+    def signal(self, number: int) -> None:
+        if not self.ended.is_set():
+            self._popen.send_signal(number)
+
+    def limit_files(self, most: int) -> None:
+        """Let it write no file beyond so many bytes: a disk that is full."""
+        with contextlib.suppress(ProcessLookupError):
+            resource.prlimit(self.pid, resource.RLIMIT_FSIZE, (most, resource.RLIM_INFINITY))
+
+
+class Sidecar:
+    """One copy of the program over the day, with a folder of its own."""
+
+    def __init__(
+        self,
+        day: Day,
+        copy: Copy,
+        command: str,
+        root: Path,
+        folder: Path,
+        clock: DayClock,
+        writer: log.Writer,
+        rng: random.Random,
+        ready_within_s: float,
+    ) -> None:
+        self.copy, self.folder = copy, folder
+        self.process: Process | None = None
+        self.life = 0
+        self.listing: Callable[[], object] = dict  # what it is told of servers at a start
+        self.config: dict[str, Any] = {}
+        self._day, self._command, self._root = day, command, root
+        self._clock, self._writer, self._rng = clock, writer, rng
+        self._ready_within_s = ready_within_s
+        self._held: socket.socket | None = None
+        self._ahead_s = 0.0  # its clock before the true one
+        self._watches: set[asyncio.Task[None]] = set()
+        self._paused = 0
+        self.lifecycle = asyncio.Lock()
+        (folder / "tmp").mkdir(parents=True)
+        host = f"127.0.{copy.number // 250 + 1}.{copy.number % 250 + 1}"
+        self.listen = (host, _free_port(host, socket.SOCK_STREAM))
+        self.peer_listen = (host, _free_port(host, socket.SOCK_DGRAM))
+
+    def configure(self, discovery: str, peers: list[str], everyone: str) -> None:
+        """What its configuration says of others; each start adds a seed and the list."""
+        self.config = {
+            "name": f"n{self.copy.number}",
+            "listen": _text(self.listen),
+            "discovery": discovery,
+            "limits": {
+                "cores": 1.0,
+                "memory_mb": self._day.sidecars.memory_mb,
+                "sockets": self._day.sidecars.sockets,
+            },
+            "settings": settings(self._day, self.copy.number),
+        }
+        if self._day.sidecars.datagrams:
+            self.config |= {
+                "peer_listen": _text(self.peer_listen),
+                "peers": peers,
+                "peers_all": everyone,
+            }
+        if self._day.sidecars.operated:
+            self._held = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            self._held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self._held.bind(self.listen)
+            self._held.listen(512)
+
+    # Its processes
+
+    def tell(self, what: str, life: int, code: int | None = None) -> None:
+        at = self._clock.now()
+        self._writer.write(log.Copy(at=at, copy=self.copy.number, life=life, what=what, code=code))
+
+    async def start(self) -> Process:
+        """Start a process; raise PlayError where it does not get ready."""
+        process, life, door = self._launch()
+        await self._until_ready(process, door)
+        self.tell("ready", life)
+        return process
+
+    def _launch(self) -> tuple[Process, int, tuple[str, int] | None]:
+        self.life += 1
+        life = self.life
+        if not self._day.sidecars.keeps_folder:
+            for each in (self.folder / "tmp").iterdir():
+                each.unlink()
+        path = self.folder / "config.json"
+        config = {**self.config, "seed": f"{self._rng.getrandbits(64):016x}", "known": self.listing()}
+        path.write_text(json.dumps(config))
+        environment = {"BALANCER_CONFIG": str(path), "TMPDIR": str(self.folder / "tmp")}
+        for key in ("name", "listen", "discovery"):
+            environment[f"BALANCER_{key.upper()}"] = config[key]
+        descriptors: tuple[int, ...] = ()
+        door: tuple[str, int] | None = None
+        if self._held is not None:
+            door = (self.listen[0], _free_port(self.listen[0], socket.SOCK_STREAM))
+            descriptors = (self._held.fileno(),)
+            environment |= {"BALANCER_CONSOLE": _text(door), "BALANCER_SOCKET_FD": str(descriptors[0])}
+        ordinary = any(each.kind == "read_only" for each in self._day.troubles)
+        process = Process(
+            self._worded(),
+            self._root,
+            environment | {"PLUMTRESTLE_CLOCK_AHEAD": f"{self._ahead_s:g}"},
+            self.folder / "stderr.log",
+            descriptors,
+            ordinary,
+        )
+        self.process = process
+        self.tell("started", life)
+        watch = asyncio.create_task(self._watch(process, life))
+        self._watches.add(watch)
+        watch.add_done_callback(self._watches.discard)
+        return process, life, door
+
+    def _worded(self) -> str:
+        if not self._ahead_s:
+            return self._command
+        if "-m micadeck" not in self._command:
+            raise PlayError(f"a clock that differs needs `-m micadeck` in `run`: {self._command}")
+        return self._command.replace("-m micadeck", "-m plumtrestle.emulator.shifted micadeck")
+
+    async def _until_ready(self, process: Process, door: tuple[str, int] | None) -> None:
+        address, path = (self.listen, "/_health") if door is None else (door, "/api/ready")
+        try:
+            async with asyncio.timeout(self._ready_within_s):
+                while not await _says_yes(address, path):
+                    if process.ended.is_set():
+                        raise PlayError(
+                            f"copy {self.copy.number} ended with code {process.code}: {self.last()}"
+                        )
+                    await asyncio.sleep(_LOOK_S)
+        except TimeoutError:
+            raise PlayError(
+                f"copy {self.copy.number} was not ready within {self._ready_within_s:g} s: {self.last()}"
+            ) from None
+
+    async def _watch(self, process: Process, life: int) -> None:
+        """Tell of its end, unless it was killed from here."""
+        await process.ended.wait()
+        if not process.killed:
+            self.tell("ended", life, process.code)
+
+    def last(self) -> str:
+        """The last lines that it wrote."""
+        try:
+            lines = (self.folder / "stderr.log").read_text(errors="replace").splitlines()
+        except OSError:
+            lines = []
+        return " | ".join(lines[-_LAST_LINES:]) or "it wrote nothing"
+
+    # What troubles do
+
+    async def kill(self) -> bool:
+        """SIGKILL; no if there is no process."""
+        process, life = self.process, self.life
+        if process is None or process.ended.is_set():
+            return False
+        process.killed = True
+        self.tell("killed", life)
+        process.signal(signal.SIGKILL)
+        await process.ended.wait()
+        return True
+
+    async def stop(self, process: Process, life: int) -> None:
+        """SIGTERM, and SIGKILL when it has had its time."""
+        if process.ended.is_set():
+            return
+        self.tell("stopping", life)
+        process.stopping = True
+        process.signal(signal.SIGTERM)
+        longest_s = max(each.deadline_us for each in self._day.classes) / 1e6
+        try:
+            async with asyncio.timeout(min(longest_s, _LONGEST_DEADLINE_S) + _KILLED_AFTER_S):
+                await process.ended.wait()
+        except TimeoutError:
+            process.killed = True
+            self.tell("killed", life)
+            process.signal(signal.SIGKILL)
+            await process.ended.wait()
+
+    async def upgrade(self) -> None:
+        """A second process beside the first, which stops once the second is ready."""
+        old, life = self.process, self.life
+        await self.start()
+        if old is not None:
+            await self.stop(old, life)
+
+    def pause(self) -> None:
+        if self.process is not None and not self.process.ended.is_set():
+            self._paused += 1
+            if self._paused == 1:
+                self.tell("paused", self.life)
+            self.process.signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Go on, unless another pause still holds."""
+        if self._paused:
+            self._paused -= 1
+        if not self._paused and self.process is not None:
+            self.process.signal(signal.SIGCONT)
+            self.tell("resumed", self.life)
+
+    def hang_up(self) -> None:
+        if self.process is not None:
+            self.process.signal(signal.SIGHUP)
+
+    def set_clock(self, ahead_s: float) -> None:
+        """From the next start on."""
+        self._ahead_s = ahead_s
+
+    def limit_files(self, is_full: bool) -> None:
+        if self.process is not None and not self.process.ended.is_set():
+            self.process.limit_files(0 if is_full else resource.RLIM_INFINITY)
+
+    def lock_folder(self, is_locked: bool) -> None:
+        own = self.folder / "tmp"
+        for each in own.iterdir():
+            each.chmod(0o400 if is_locked else 0o600)
+        own.chmod(0o500 if is_locked else 0o700)
+
+    def damage_folder(self) -> None:
+        """Every file is cut short, or holds garbage from some place on."""
+        for each in sorted((self.folder / "tmp").iterdir()):
+            kept = each.read_bytes()
+            place = self._rng.randrange(len(kept) + 1)
+            garbage = self._rng.randbytes(len(kept) - place) if self._rng.random() < 0.5 else b""
+            each.write_bytes(kept[:place] + garbage)
+
+    async def close(self) -> None:
+        """End whatever still runs."""
+        if self.process is not None and not self.process.ended.is_set():
+            self.process.killed = True
+            self.process.signal(signal.SIGKILL)
+            await self.process.ended.wait()
+        for watch in list(self._watches):
+            watch.cancel()
+        if self._held is not None:
+            self._held.close()
+
+
+def _text(address: tuple[str, int]) -> str:
+    return f"{address[0]}:{address[1]}"
+
+
+def _free_port(host: str, kind: int) -> int:
+    """A port that the system chooses.  The host is one copy's alone, so nobody else takes it meanwhile."""
+    with socket.socket(socket.AF_INET, kind) as own:
+        own.bind((host, 0))
+        return int(own.getsockname()[1])
+
+
+async def _says_yes(address: tuple[str, int], path: str) -> bool:
+    try:
+        async with asyncio.timeout(1.0):
+            reader, writer = await asyncio.open_connection(*address)
+            try:
+                writer.write(f"GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".encode())
+                return (await reader.readline()).startswith(b"HTTP/1.1 200")
+            finally:
+                writer.close()
+    except (OSError, TimeoutError):
+        return False
--- /dev/null
+++ b/plumtrestle/emulator/discovery.py
@@ -0,0 +1,164 @@
+"""The stand-in for discovery, by PROTOCOL's page: whole lists, watches, one call after another."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import re
+from collections.abc import Callable
+
+from plumtrestle import events as log
+from plumtrestle.catalog import Catalog, Change
+from plumtrestle.clock import DayClock
+from plumtrestle.emulator.message import Requests, Unreadable, answer
+from plumtrestle.emulator.switch import Handler, Passage
+from plumtrestle.world.day import Day
+
+_WATCH = re.compile(rb"[?&]after=([0-9]+)&wait_ms=([0-9]+)")
+_LONGEST_MS = 60_000
+DOWN = answer(b"503 Down")
+
+
+class StandInDiscovery:
+    """One service for all copies; it tells each the addresses that are the copy's own."""
+
+    def __init__(
+        self,
+        day: Day,
+        clock: DayClock,
+        writer: log.Writer,
+        addresses: list[list[str]],
+        rng: random.Random,
+    ) -> None:
+        """`addresses[copy][server]` is where a copy finds a server."""
+        self.catalog = Catalog(day)
+        self.told = [1] * len(day.copies)  # the newest version that reached each copy
+        self._day, self._clock, self._writer, self._rng = day, clock, writer, rng
+        self._addresses = addresses
+        self._free_at = 0
+        self._watches: set[_Call] = set()
+        self._down = [each for each in day.troubles if each.kind == "discovery_down"]
+
+    def start(self) -> None:
+        """Plan every change and every trouble of the day."""
+        for change in self.catalog.changes:
+            self._at(change.at, self._tell_watches)
+        for each in self._down:
+            self._at(each.at_us, self._end_watches)
+
+    def _at(self, at: int, act: Callable[[], None]) -> None:
+        asyncio.get_running_loop().call_later(self._clock.wait_s(at) + 0.0005, act)
+
+    def connected(self, copy: int, passage: Passage) -> Handler:
+        return _Call(self, copy, passage)
+
+    # Calls
+
+    def called(self, call: _Call, after: int | None, wait_ms: int) -> None:
+        """A call came whole: it waits for its turn, or fails at once where that would be too long."""
+        now = self._clock.now()
+        turn = max(self._free_at, now)
+        fails = self._is_down(now) or turn - now > self._day.discovery.wait_us
+        if fails or self._rng.random() < self._day.discovery.fail_rate:
+            self._answered(call, DOWN, False)
+            return
+        self._free_at = turn + self._day.discovery.call_us
+        self._at(self._free_at, lambda: self._handle(call, after, wait_ms))
+
+    def _handle(self, call: _Call, after: int | None, wait_ms: int) -> None:
+        newest = self.catalog.version(self._clock.now())
+        if after is not None and after >= newest and wait_ms > 0:
+            call.watches_from = after
+            self._watches.add(call)
+            self._at(self._clock.now() + wait_ms * 1_000, lambda: self._give_up(call))
+        else:
+            self._tell(call, after)
+
+    def forget(self, call: _Call) -> None:
+        self._watches.discard(call)
+
+    def _give_up(self, call: _Call) -> None:
+        if call in self._watches:
+            self._watches.discard(call)
+            self._tell(call, call.watches_from)
+
+    def _tell_watches(self) -> None:
+        for call in list(self._watches):
+            self._watches.discard(call)
+            self._tell(call, call.watches_from)
+
+    def _end_watches(self) -> None:
+        for call in list(self._watches):
+            self._watches.discard(call)
+            call.passage.reset()
+
+    def _is_down(self, now: int) -> bool:
+        return any(each.at_us <= now < each.until_us for each in self._down)
+
+    def _tell(self, call: _Call, after: int | None) -> None:
+        version = self.catalog.version(self._clock.now())
+        full = after is None or after > version
+        changes = self.catalog.whole(version) if full else self.catalog.since(after or 1, version)
+        body = json.dumps(self.listing(call.copy, version, full, changes)).encode()
+
+        def delivered() -> None:
+            lines = [(each.server, each.state, each.started) for each in changes]
+            at = self._clock.now()
+            self.told[call.copy] = max(version, self.told[call.copy])
+            self._writer.write(log.Told(at=at, copy=call.copy, version=version, full=full, lines=lines))
+
+        self._answered(call, answer(b"200 OK", body), True, delivered)
+
+    def _answered(
+        self, call: _Call, message: bytes, well: bool, delivered: Callable[[], None] | None = None
+    ) -> None:
+        self._writer.write(log.Called(at=self._clock.now(), copy=call.copy, well=well))
+        call.passage.send(message, delivered)
+
+    def listing(self, copy: int, version: int, full: bool, changes: list[Change]) -> dict[str, object]:
+        """Entries in discovery's form."""
+        return {"version": version, "full": full, "servers": [self._line(copy, each) for each in changes]}
+
+    def _line(self, copy: int, change: Change) -> dict[str, object]:
+        server = self._day.servers[change.server]
+        return {
+            "id": f"s-{change.server}",
+            "addr": self._addresses[copy][change.server],
+            "zone": server.zone,
+            "kind": "m",
+            "cell": server.cell,
+            "state": change.state,
+            "weight": 1.0,
+            "started_ms": 0 if change.started is None else self._clock.unix_ms(change.started),
+        }
+
+
+class _Call:
+    """Discovery's end of one connection, which has one call at a time."""
+
+    def __init__(self, owner: StandInDiscovery, copy: int, passage: Passage) -> None:
+        self.copy, self.passage = copy, passage
+        self.watches_from: int | None = None
+        self._owner = owner
+        self._reading = Requests()
+
+    def received(self, data: bytes) -> None:
+        try:
+            for head, _ in self._reading.feed(data):
+                self._asked(head.partition(b"\r\n")[0])
+        except Unreadable:
+            self.passage.reset()
+
+    def _asked(self, line: bytes) -> None:
+        if not line.startswith(b"GET /catalog/members"):
+            self.passage.send(answer(b"404 Unknown"))
+            return
+        watch = _WATCH.search(line)
+        if watch is None:
+            self._owner.called(self, None, 0)
+        else:
+            self._owner.called(self, int(watch[1]), min(int(watch[2]), _LONGEST_MS))
+
+    def ended(self) -> None:
+        self._owner.forget(self)
--- /dev/null
+++ b/plumtrestle/emulator/play.py
@@ -0,0 +1,352 @@
+"""Plays one day: starts everybody, keeps the day's time, does its troubles, ends everybody, gives the log."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import resource
+import sys
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from plumtrestle import events as log
+from plumtrestle.clock import DayClock, watch_lateness
+from plumtrestle.emulator import shard as shards
+from plumtrestle.emulator.copies import PlayError, Sidecar, deployed
+from plumtrestle.emulator.datagrams import Relay
+from plumtrestle.emulator.discovery import StandInDiscovery
+from plumtrestle.emulator.switch import Gate
+from plumtrestle.links import Links
+from plumtrestle.load import worker as loads
+from plumtrestle.streams import seeded
+from plumtrestle.world.day import DISCOVERY, Copy, Day, Trouble
+
+__all__ = ["Ground", "PlayError", "play"]
+
+BEFORE = -(1 << 50)  # when the log begins
+_START_S = 0.3  # from everybody being ready to the day's beginning
+_ANSWER_WITHIN_S = 60.0  # for a process of the ground
+_MOST_COPIES, _MOST_LINKS = 64, 20_000
+_SPARE_DESCRIPTORS = 256
+
+
+@dataclass(frozen=True, slots=True)
+class Ground:
+    """Where and how a day is played."""
+
+    folder: Path  # for the log and all that copies write; made if need be
+    root: Path = field(default_factory=Path.cwd)  # the tree of the program
+    command: str | None = None  # to start a copy; None: as its deploy file says
+    variant: str = "this tree"
+    ready_within_s: float = 30.0  # of a copy
+    grace_us: int = 600_000  # how long past its time an answer is waited for
+    shards: int = 2  # processes of stand-in servers
+    workers: int = 1  # and of the load
+
+
+class _Child:
+    """A process of the ground: told on its input, heard on its output."""
+
+    def __init__(self, process: asyncio.subprocess.Process, name: str) -> None:
+        self._process, self._name = process, name
+
+    @classmethod
+    async def start(cls, module: str, plan: msgspec.Struct, name: str) -> _Child:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            module,
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+            limit=1 << 26,
+            start_new_session=True,
+            env={**os.environ, "PYTHONPATH": os.pathsep.join(each for each in sys.path if each)},
+        )
+        child = cls(process, name)
+        child.tell(msgspec.json.encode(plan))
+        return child
+
+    def tell(self, line: bytes) -> None:
+        assert self._process.stdin is not None
+        self._process.stdin.write(line + b"\n")
+
+    async def hear(self, within_s: float = _ANSWER_WITHIN_S) -> bytes:
+        """Its next line; raise PlayError if none comes."""
+        assert self._process.stdout is not None
+        try:
+            async with asyncio.timeout(within_s):
+                line = await self._process.stdout.readline()
+        except TimeoutError:
+            raise PlayError(f"{self._name} does not answer") from None
+        if not line:
+            raise PlayError(f"{self._name} ended with code {await self._process.wait()}")
+        return line
+
+    async def close(self) -> None:
+        """End its input, so that it writes what it has, and see that it ends."""
+        if self._process.stdin is not None:
+            self._process.stdin.close()
+        try:
+            async with asyncio.timeout(10.0):
+                await self._process.wait()
+        except TimeoutError:
+            self._process.kill()
+            await self._process.wait()
+
+
+async def play(day: Day, ground: Ground) -> Path:
+    """Play a day with real copies; give its log.  Raise PlayError if it can't be played here."""
+    _check(day)
+    ground.folder.mkdir(parents=True, exist_ok=True)
+    for stale in (*log.parts(ground.folder), ground.folder / "log.jsonl"):
+        stale.unlink(missing_ok=True)
+    with log.Writer(ground.folder / "part-day.jsonl") as writer:
+        writer.write(log.Began(at=BEFORE, day=day, engine="emulator", variant=ground.variant))
+        writer.flush()
+        played = _Play(day, ground, writer)
+        try:
+            await played.prepare()
+            await played.run()
+        finally:
+            await played.close()
+    return log.merge(ground.folder)
+
+
+def _check(day: Day) -> None:
+    """Whether this machine can hold it; raise PlayError if not."""
+    links = len(day.copies) * len(day.servers)
+    if len(day.copies) > _MOST_COPIES or links > _MOST_LINKS:
+        raise PlayError(
+            f"{len(day.copies)} copies and {len(day.servers)} servers are too many for real time"
+            f" ({_MOST_COPIES} copies, {_MOST_LINKS} links at most): use the model"
+        )
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    needed = 3 * links + 8 * len(day.copies) + _SPARE_DESCRIPTORS
+    if soft < needed <= hard or (soft < needed and hard == resource.RLIM_INFINITY):
+        resource.setrlimit(resource.RLIMIT_NOFILE, (needed, hard))
+    elif hard < needed and hard != resource.RLIM_INFINITY:
+        raise PlayError(f"the day needs {needed} descriptors, and this user may have {hard}")
+
+
+class _Play:
+    """One day being played."""
+
+    def __init__(self, day: Day, ground: Ground, writer: log.Writer) -> None:
+        self._day, self._ground, self._writer = day, ground, writer
+        self._clock = DayClock()
+        self._links = Links(day)
+        self._children: list[_Child] = []
+        self._loads: list[_Child] = []
+        self._copies: list[Sidecar] = []
+        self._gates: list[Gate] = []
+        self._discovery: StandInDiscovery | None = None
+        self._relay = Relay(self._clock, self._links, writer, seeded(day.seed, "datagrams"))
+        self._tasks: list[asyncio.Task[Any]] = []
+        self._failed: asyncio.Future[None] | None = None  # a trouble that could not be done
+
+    # Before the day
+
+    async def prepare(self) -> None:
+        """Start everybody; the copies last, and all at once."""
+        count = min(self._ground.shards, len(self._day.servers))
+        for number in range(count):
+            plan = shards.Plan(self._day, number, count, self._part(f"servers-{number}"))
+            child = await _Child.start("plumtrestle.emulator.shard", plan, f"servers {number}")
+            self._children.append(child)
+        addresses: list[list[str]] = [[""] * len(self._day.servers) for _ in self._day.copies]
+        for child in self._children:
+            told = msgspec.json.decode(await child.hear(), type=dict[str, list[str]])
+            for server, own in told.items():
+                for copy, address in enumerate(own):
+                    addresses[copy][int(server)] = address
+        self._discovery = StandInDiscovery(
+            self._day, self._clock, self._writer, addresses, seeded(self._day.seed, DISCOVERY)
+        )
+        command = self._ground.command or deployed(self._ground.root)
+        self._copies = [self._sidecar(copy, command) for copy in self._day.copies]
+        await self._relay.start("127.15.0.1", [each.peer_listen for each in self._copies])
+        for sidecar in self._copies:
+            self._introduce(sidecar, self._discovery)
+        starts = [asyncio.create_task(each.start()) for each in self._copies]
+        try:
+            await asyncio.gather(*starts)
+        finally:
+            for start in starts:
+                start.cancel()
+        workers = min(self._ground.workers, len(self._copies))
+        for number in range(workers):
+            listen = [each.listen for each in self._copies]
+            part = self._part(f"load-{number}")
+            load = loads.Plan(self._day, number, workers, listen, part, self._ground.grace_us)
+            self._loads.append(await _Child.start("plumtrestle.load.worker", load, f"load {number}"))
+        for child in self._loads:
+            await child.hear()
+
+    def _part(self, name: str) -> str:
+        return str(self._ground.folder / f"part-{name}.jsonl")
+
+    def _sidecar(self, copy: Copy, command: str) -> Sidecar:
+        folder = self._ground.folder / f"copy-{copy.number}"
+        if folder.exists():
+            raise PlayError(f"{folder} is there already: give an empty folder")
+        rng = seeded(self._day.seed, copy.party)
+        root = self._ground.root
+        within_s = self._ground.ready_within_s
+        return Sidecar(self._day, copy, command, root, folder, self._clock, self._writer, rng, within_s)
+
+    def _introduce(self, sidecar: Sidecar, discovery: StandInDiscovery) -> None:
+        """Tell a copy where the others are, through the switch."""
+        copy = sidecar.copy
+        inwards = self._links.between(copy.party, DISCOVERY)
+        outwards = self._links.between(DISCOVERY, copy.party)
+        rng = seeded(self._day.seed, f"discovery.{copy.number}")
+        gate = Gate(self._clock, copy.number, discovery, inwards, outwards, rng)
+        self._gates.append(gate)
+        sidecar.configure(gate.bind(shards.host_for(copy.number)), self._relay.peers, self._relay.everyone)
+        gate.start()
+
+        def listing() -> object:
+            version = discovery.told[copy.number]
+            return discovery.listing(copy.number, version, True, discovery.catalog.whole(version))
+
+        sidecar.listing = listing
+
+    # The day
+
+    async def run(self) -> None:
+        """The day itself, until the load has every answer that comes."""
+        assert self._discovery is not None
+        began_ns = time.monotonic_ns() + round(_START_S * 1e9)
+        self._clock.begin(began_ns)
+        for child in (*self._children, *self._loads):
+            child.tell(b"%d" % began_ns)
+        self._discovery.start()
+        for gate in self._gates:
+            gate.plan()
+        self._failed = asyncio.get_running_loop().create_future()
+        watch = asyncio.create_task(watch_lateness(self._clock, "discovery", self._writer))
+        self._tasks = [watch, *(asyncio.create_task(self._trouble(each)) for each in self._day.troubles)]
+        for task in self._tasks:
+            task.add_done_callback(self._complain)
+        longest_s = max(each.deadline_us for each in self._day.classes) / 1e6
+        within_s = (self._day.length_us + self._ground.grace_us) / 1e6 + longest_s + _ANSWER_WITHIN_S
+        over = [asyncio.create_task(child.hear(within_s)) for child in self._loads]
+        self._tasks += over
+        whole = asyncio.gather(*over)
+        await asyncio.wait((whole, self._failed), return_when=asyncio.FIRST_COMPLETED)
+        if self._failed.done():
+            self._failed.result()
+        await whole
+        await asyncio.sleep(self._clock.wait_s(self._day.length_us))
+        self._writer.write(log.Finished(at=max(self._clock.now(), self._day.length_us)))
+
+    def _complain(self, task: asyncio.Task[Any]) -> None:
+        fault = None if task.cancelled() else task.exception()
+        if fault is not None and self._failed is not None and not self._failed.done():
+            self._failed.set_exception(fault)
+
+    async def _trouble(self, trouble: Trouble) -> None:
+        await asyncio.sleep(self._clock.wait_s(trouble.at_us))
+        self._writer.write(log.Trouble(at=self._clock.now(), number=trouble.number, begins=True))
+        copies = [
+            self._copies[int(each.partition(":")[2])] for each in trouble.who if each.startswith("copy:")
+        ]
+        act = _ACTS.get(trouble.kind)
+        if act is None:
+            await asyncio.sleep(self._clock.wait_s(trouble.until_us))
+        else:
+            await asyncio.gather(*(act(self, each, trouble) for each in copies))
+        if trouble.until_us > trouble.at_us:
+            self._writer.write(log.Trouble(at=self._clock.now(), number=trouble.number, begins=False))
+
+    async def _until(self, trouble: Trouble) -> None:
+        await asyncio.sleep(self._clock.wait_s(trouble.until_us))
+
+    async def _kill(self, copy: Sidecar, trouble: Trouble) -> None:
+        async with copy.lifecycle:
+            was_there = await copy.kill()
+        await self._until(trouble)
+        if was_there and trouble.until_us > trouble.at_us:
+            await self._start_again(copy)
+
+    async def _start_again(self, copy: Sidecar) -> None:
+        """Under load; one that does not get ready is for the judge to see."""
+        async with copy.lifecycle:
+            if copy.process is None or copy.process.ended.is_set():
+                with contextlib.suppress(PlayError):
+                    await copy.start()
+
+    async def _term(self, copy: Sidecar, trouble: Trouble) -> None:
+        if copy.process is not None:
+            await copy.stop(copy.process, copy.life)
+        await self._until(trouble)
+        await self._start_again(copy)
+
+    async def _pause(self, copy: Sidecar, trouble: Trouble) -> None:
+        copy.pause()
+        await self._until(trouble)
+        copy.resume()
+
+    async def _hup(self, copy: Sidecar, trouble: Trouble) -> None:
+        copy.hang_up()
+
+    async def _upgrade(self, copy: Sidecar, trouble: Trouble) -> None:
+        async with copy.lifecycle:
+            with contextlib.suppress(PlayError):
+                await copy.upgrade()
+
+    async def _shift_clock(self, copy: Sidecar, trouble: Trouble) -> None:
+        copy.set_clock(trouble.amount)
+        async with copy.lifecycle:
+            await copy.kill()
+        await self._start_again(copy)
+
+    async def _fill_disk(self, copy: Sidecar, trouble: Trouble) -> None:
+        copy.limit_files(True)
+        await self._until(trouble)
+        copy.limit_files(False)
+
+    async def _lock_folder(self, copy: Sidecar, trouble: Trouble) -> None:
+        copy.lock_folder(True)
+        await self._until(trouble)
+        copy.lock_folder(False)
+
+    async def _damage(self, copy: Sidecar, trouble: Trouble) -> None:
+        async with copy.lifecycle:
+            await copy.kill()
+        copy.damage_folder()
+        await self._until(trouble)
+        await self._start_again(copy)
+
+    # After the day
+
+    async def close(self) -> None:
+        """End everybody, whatever state they are in."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*(each.close() for each in self._copies), return_exceptions=True)
+        children: Sequence[_Child] = (*self._loads, *self._children)
+        await asyncio.gather(*(each.close() for each in children), return_exceptions=True)
+        for gate in self._gates:
+            gate.close()
+        self._relay.close()
+
+
+_ACTS = {
+    "kill": _Play._kill,
+    "term": _Play._term,
+    "pause": _Play._pause,
+    "hup": _Play._hup,
+    "upgrade": _Play._upgrade,
+    "clock": _Play._shift_clock,
+    "full": _Play._fill_disk,
+    "read_only": _Play._lock_folder,
+    "damaged": _Play._damage,
+}
--- /dev/null
+++ b/plumtrestle/emulator/servers.py
@@ -0,0 +1,148 @@
+"""The stand-in for a server: what a station makes of a request, said as the platform's servers say it."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import re
+from collections.abc import Callable
+
+from plumtrestle import events as log
+from plumtrestle.clock import DayClock
+from plumtrestle.emulator.message import Requests, Unreadable, answer, header
+from plumtrestle.emulator.switch import Gate, Handler, Passage
+from plumtrestle.station import Job, Place, Station
+from plumtrestle.world.day import Server, Trouble
+
+_WORK = re.compile(rb"[?&]work=([0-9]{1,12})")
+_ID = re.compile(rb"[0-9a-f]{16}")
+FULL = answer(b"503 Full", more=b"Not-Started: 1\r\n")
+BROKEN = answer(b"500 Broken")
+
+
+class StandIn:
+    """One server with a gate for each copy."""
+
+    def __init__(
+        self,
+        server: Server,
+        troubles: tuple[Trouble, ...],
+        clock: DayClock,
+        writer: log.Writer,
+        number_attempt: Callable[[], int],
+        rng: random.Random,
+    ) -> None:
+        self.server = server
+        self.gates: list[Gate] = []
+        self.open = 0  # connections
+        self._station = Station(server, troubles)
+        self._clock, self._writer, self._rng = clock, writer, rng
+        self._number_attempt = number_attempt
+        self._asked: dict[int, _Connection] = {}  # by attempt
+
+    def connected(self, copy: int, passage: Passage) -> Handler:
+        self.open += 1
+        if self.open > self.server.connections:
+            passage.reset()
+        return _Connection(self, copy, passage)
+
+    def live(self, what: str) -> None:
+        """Its process ends, begins, drains or goes, as the day has it."""
+        now = self._clock.now()
+        if what in ("down", "gone"):
+            for gate in self.gates:
+                gate.down()
+            for job in self._station.restart(now):
+                self._ended(job.attempt, "lost")
+        elif what == "up":
+            self._station.restart(now)
+            for gate in self.gates:
+                gate.up()
+        self._writer.write(log.Server(at=now, server=self.server.number, what=what))
+
+    def asked(self, connection: _Connection, request: int, work: int, sent: int) -> None:
+        """A request came whole."""
+        now = self._clock.now()
+        attempt = self._number_attempt()
+        self._writer.write(
+            log.Arrived(
+                at=now,
+                request=request,
+                copy=connection.copy,
+                server=self.server.number,
+                attempt=attempt,
+                sent=sent,
+                work=work,
+            )
+        )
+        connection.requests[attempt] = request
+        self._asked[attempt] = connection
+        job = Job(attempt, work, self._rng.random())
+        place = self._station.offer(now, job)
+        if place is Place.FULL:
+            self._ended(attempt, "full")
+        elif place is Place.WORKING:
+            self._work(job)
+
+    def _work(self, job: Job) -> None:
+        asyncio.get_running_loop().call_later(self._clock.wait_s(job.ends), self._done, job)
+
+    def _done(self, job: Job) -> None:
+        if not self._station.holds(job):
+            return  # its process ended meanwhile
+        well, after = self._station.end(self._clock.now(), job)
+        if after is not None:
+            self._work(after)
+        self._ended(job.attempt, "served" if well else "error")
+
+    def _ended(self, attempt: int, how: str) -> None:
+        connection = self._asked.pop(attempt)
+        request = connection.requests.pop(attempt)
+        self._writer.write(log.Ended(at=self._clock.now(), attempt=attempt, request=request, how=how))
+        if how == "served":
+            connection.answer(answer(b"200 OK", b"%x %x" % (request, attempt)))
+        elif how != "lost":
+            connection.answer(FULL if how == "full" else BROKEN)
+
+    def connection(self, copy: int, opened: bool) -> None:
+        at = self._clock.now()
+        self._writer.write(log.Connected(at=at, copy=copy, server=self.server.number, opened=opened))
+
+    def now(self) -> int:
+        return self._clock.now()
+
+
+class _Connection:
+    """The server's end of one connection."""
+
+    def __init__(self, owner: StandIn, copy: int, passage: Passage) -> None:
+        self.copy = copy
+        self.requests: dict[int, int] = {}  # by attempt
+        self._owner, self._passage = owner, passage
+        self._reading = Requests()
+        self._began = 0
+        owner.connection(copy, True)
+
+    def received(self, data: bytes) -> None:
+        if self._reading.is_between:
+            self._began = self._owner.now()
+        try:
+            for head, _ in self._reading.feed(data):
+                self._asked(head)
+        except Unreadable:
+            self._passage.reset()
+
+    def _asked(self, head: bytes) -> None:
+        line = head.partition(b"\r\n")[0]
+        work, name = _WORK.search(line), header(head, b"request-id")
+        if work is None or not _ID.fullmatch(name):
+            self.answer(answer(b"404 Unknown" if not name else b"400 Bad"))
+            return
+        self._owner.asked(self, int(name, 16), int(work[1]), self._began)
+
+    def answer(self, message: bytes) -> None:
+        self._passage.send(message)
+
+    def ended(self) -> None:
+        self._owner.open -= 1
+        self._owner.connection(self.copy, False)
--- /dev/null
+++ b/plumtrestle/emulator/shard.py
@@ -0,0 +1,107 @@
+"""A process of stand-in servers: `python -m plumtrestle.emulator.shard`, told what to do on its input.
+
+First line: a `Plan` as JSON; it answers with `{server: [address for each copy]}`.  Second line: when the day
+begins, by the monotonic clock in nanoseconds.  It plays until its input ends.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import sys
+from pathlib import Path
+
+import msgspec
+import uvloop
+
+from plumtrestle import events as log
+from plumtrestle.catalog import server_lives
+from plumtrestle.clock import DayClock, watch_lateness
+from plumtrestle.emulator.servers import StandIn
+from plumtrestle.emulator.switch import Gate
+from plumtrestle.links import Links
+from plumtrestle.streams import lines_of_input, seeded
+from plumtrestle.world import Day
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """What one process of stand-ins does."""
+
+    day: Day
+    shard: int
+    shards: int
+    part: str  # the file for its part of the log
+
+
+def host_for(copy: int) -> str:
+    """The address, of the loopback net, at which everything that one copy reaches stands."""
+    return f"127.16.{copy // 250}.{copy % 250 + 1}"
+
+
+class Shard:
+    """The servers of one process."""
+
+    def __init__(self, plan: Plan, clock: DayClock, writer: log.Writer) -> None:
+        self._day, self._clock = plan.day, clock
+        links = Links(plan.day)
+        numbers = itertools.count(plan.shard, plan.shards)
+        self.servers: dict[int, StandIn] = {}
+        for server in plan.day.servers[plan.shard :: plan.shards]:
+            rng = seeded(plan.day.seed, server.party)
+            made = StandIn(server, plan.day.troubles, clock, writer, lambda: next(numbers), rng)
+            for copy in plan.day.copies:
+                inwards = links.between(copy.party, server.party)
+                outwards = links.between(server.party, copy.party)
+                made.gates.append(Gate(clock, copy.number, made, inwards, outwards, rng))
+            self.servers[server.number] = made
+
+    def bind(self) -> dict[str, list[str]]:
+        """Take addresses; give those of each server, one for each copy."""
+        return {
+            str(number): [gate.bind(host_for(gate.copy)) for gate in server.gates]
+            for number, server in self.servers.items()
+        }
+
+    def accept(self) -> None:
+        """Let copies in; the day has not begun."""
+        for server in self.servers.values():
+            for gate in server.gates:
+                gate.start()
+
+    def begin(self) -> None:
+        """Plan the day."""
+        loop = asyncio.get_running_loop()
+        for server in self.servers.values():
+            for gate in server.gates:
+                gate.plan()
+        for at, number, what in server_lives(self._day):
+            if number in self.servers:
+                loop.call_later(self._clock.wait_s(at), self.servers[number].live, what)
+
+    def close(self) -> None:
+        for server in self.servers.values():
+            for gate in server.gates:
+                gate.close()
+
+
+async def main() -> None:
+    told = await lines_of_input()
+    plan = msgspec.json.decode(await told.readline(), type=Plan)
+    clock = DayClock()
+    with log.Writer(Path(plan.part)) as writer:
+        shard = Shard(plan, clock, writer)
+        print(msgspec.json.encode(shard.bind()).decode(), flush=True)
+        shard.accept()
+        began = await told.readline()
+        if began:
+            clock.begin(int(began))
+            shard.begin()
+            watch = asyncio.create_task(watch_lateness(clock, f"servers {plan.shard}", writer))
+            await told.read()
+            watch.cancel()
+        shard.close()
+
+
+if __name__ == "__main__":
+    uvloop.run(main())
+    sys.exit(0)
--- a/plumtrestle/rules/history.py
+++ b/plumtrestle/rules/history.py
@@ -125,8 +125,10 @@
         out = self._out
         match event:
             case log.Taken():
-                self._requests[event.request].taken = event
-                out.first_tries[event.first].append(event.request)
+                request = self._requests[event.request]
+                if request.taken is None:  # else it crossed a close, and was sent once more
+                    out.first_tries[event.first].append(event.request)
+                request.taken = event
             case log.Unreached():
                 self._requests[event.request].unreached = True
                 out.unreached.setdefault(event.first, event)
--- /dev/null
+++ b/plumtrestle/streams.py
@@ -0,0 +1,24 @@
+"""What the ground's processes have in common: their input, and random numbers by subject."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import sys
+
+from plumtrestle.world.draw import stream
+
+_MOST_LINE = 1 << 26  # bytes: a day with all of its parties
+
+
+async def lines_of_input() -> asyncio.StreamReader:
+    """Standard input, to be read without holding up the loop."""
+    reader = asyncio.StreamReader(limit=_MOST_LINE)
+    loop = asyncio.get_running_loop()
+    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+    return reader
+
+
+def seeded(seed: int, subject: str) -> random.Random:
+    """Random numbers of one subject, one at a time: quicker so than numpy's."""
+    return random.Random(int(stream(seed, subject).integers(1 << 62)))
--- a/plumtrestle/world/draw.py
+++ b/plumtrestle/world/draw.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 
 import numpy as np
+from msgspec.structs import replace
 
 from plumtrestle.world import day, schema
 from plumtrestle.world.day import DISCOVERY, Day
@@ -198,24 +199,19 @@
         made = day.Trouble(number=0, kind=each.kind, at_us=at_us, until_us=until_us, who=(), amount=amount)
         if isinstance(each, schema.OfLinks):
             who, others = parties.named("between", each.between), parties.named("to", each.to)
-            out.append(_changed(made, who=who, others=others, both_ways=each.both_ways))
+            out.append(replace(made, who=who, others=others, both_ways=each.both_ways))
         elif isinstance(each, (schema.OfCopies, schema.OfServers)):
             who = parties.named("who", each.who)
             step_us = figures.seconds(f"{key}.step_s", each.step_s)
             groups = [(one,) for one in who] if step_us else [who]
             for place, group in enumerate(groups):
                 later = place * step_us
-                moved = _changed(made, who=group, at_us=at_us + later, until_us=until_us + later)
+                moved = replace(made, who=group, at_us=at_us + later, until_us=until_us + later)
                 out.append(moved)
         else:
-            out.append(_changed(made, who=(DISCOVERY,) if isinstance(each, schema.OfDiscovery) else ()))
+            out.append(replace(made, who=(DISCOVERY,) if isinstance(each, schema.OfDiscovery) else ()))
     out.sort(key=lambda each: each.at_us)
-    return tuple(_changed(each, number=number) for number, each in enumerate(out))
-
-
-def _changed(trouble: day.Trouble, **changes: object) -> day.Trouble:
-    fields = {name: getattr(trouble, name) for name in trouble.__struct_fields__}
-    return day.Trouble(**{**fields, **changes})
+    return tuple(replace(each, number=number) for number, each in enumerate(out))
 
 
 class _Parties:
--- /dev/null
+++ b/tests/test_emulator.py
@@ -0,0 +1,299 @@
+"""Real copies of the program with faults between them, and what the switch does to real connections."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+from loopback import PATIENCE_S, play, soon, until
+from test_ground import a_day, trouble
+
+from plumtrestle import events as log
+from plumtrestle.clock import DayClock
+from plumtrestle.emulator.copies import PlayError
+from plumtrestle.emulator.play import Ground
+from plumtrestle.emulator.play import play as play_day
+from plumtrestle.emulator.switch import Gate, Handler, Passage
+from plumtrestle.links import Links
+from plumtrestle.rules import judge
+from plumtrestle.world import Day, arrivals, draw, read
+
+ROOT = Path(__file__).parent.parent
+PROGRAM = f"exec {sys.executable} -m micadeck"
+GENEROUS_US = 15_000_000  # how long past its time an answer may come on a busy machine
+S = 1_000_000
+
+
+def ground(folder: Path, command: str = PROGRAM, **how: Any) -> Ground:
+    return Ground(folder=folder, root=ROOT, command=command, grace_us=GENEROUS_US, **how)
+
+
+def running_below(folder: Path) -> list[int]:
+    """Processes that were told of this folder."""
+    out = []
+    for each in Path("/proc").iterdir():
+        if each.name.isdecimal():
+            try:
+                if str(folder).encode() in (each / "environ").read_bytes():
+                    out.append(int(each.name))
+            except OSError:
+                pass
+    return out
+
+
+def played(day: Day, folder: Path, **how: Any) -> list[log.Event]:
+    return log.load(asyncio.run(play_day(day, ground(folder, **how))))
+
+
+def test_three_copies_one_cut_off_and_one_killed_in_the_middle(tmp_path: Path) -> None:
+    day = draw(read("three-copies"), 1)
+    events = played(day, tmp_path)
+    verdict = judge(events, slack_us=GENEROUS_US)
+    assert verdict.breaches == () and verdict.is_whole
+    asked = {each.first for each in events if isinstance(each, log.Taken | log.Unreached)}
+    assert asked == {each.number for each in arrivals(day)}
+    served = [each for each in events if isinstance(each, log.Answered) and each.status == 200]
+    assert len(served) > len(asked) / 2
+    lives = [
+        (each.copy, each.life, each.what) for each in events if isinstance(each, log.Copy) and each.at > 0
+    ]
+    assert lives == [(1, 1, "killed"), (1, 2, "started"), (1, 2, "ready")]
+    troubles = [(each.number, each.begins) for each in events if isinstance(each, log.Trouble)]
+    assert sorted(troubles) == [(number, begins) for number in range(3) for begins in (False, True)]
+    cut = [each.at for each in events if isinstance(each, log.Trouble) and each.number == 0]
+    heard = [each.at for each in events if isinstance(each, log.Told) and each.copy == 0]
+    assert heard and not any(cut[0] < at < cut[1] for at in heard)
+    assert running_below(tmp_path) == []
+
+
+LIAR = """
+import http.server, json, os, socketserver
+class Server(socketserver.ThreadingMixIn, http.server.HTTPServer):
+    daemon_threads = True
+class Liar(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    def do_GET(self):
+        self.send_response(200); self.send_header("Content-Length", "3"); self.end_headers()
+        self.wfile.write(b"lie")
+    do_POST = do_GET
+host, port = json.load(open(os.environ["BALANCER_CONFIG"]))["listen"].split(":")
+Server((host, int(port)), Liar).serve_forever()
+"""
+
+
+def test_a_program_that_serves_what_no_server_made_is_found_out(tmp_path: Path) -> None:
+    (tmp_path / "liar.py").write_text(LIAR)
+    day = a_day(base=read_small())
+    events = log.load(
+        asyncio.run(play_day(day, ground(tmp_path / "day", f"exec {sys.executable} {tmp_path}/liar.py")))
+    )
+    found = judge(events, slack_us=GENEROUS_US).breaches
+    assert found and {each.rule for each in found} == {"foreign"}
+
+
+def read_small() -> str:
+    return """
+name = "small"
+seconds = 1
+[[classes]]
+name = "look"
+[[servers]]
+count = 1
+[sidecars]
+count = 2
+[clients]
+rate_per_s = 20
+"""
+
+
+@pytest.mark.parametrize(
+    ("command", "told"),
+    [
+        ("echo no such luck >&2; exit 3", "ended with code 3: no such luck"),
+        ("exec sleep 60", "was not ready within"),
+    ],
+    ids=["dies at once", "never ready"],
+)
+def test_a_copy_that_does_not_get_ready_is_told_and_nothing_stays(
+    command: str, told: str, tmp_path: Path
+) -> None:
+    with pytest.raises(PlayError, match=told):
+        asyncio.run(play_day(a_day(base=read_small()), ground(tmp_path, command, ready_within_s=1.0)))
+    assert running_below(tmp_path) == []
+
+
+def test_too_large_a_day_is_refused_before_anything_starts(tmp_path: Path) -> None:
+    day = a_day(base=read_small().replace("count = 2", "count = 200"))
+    with pytest.raises(PlayError, match="use the model"):
+        asyncio.run(play_day(day, ground(tmp_path / "day")))
+    assert not (tmp_path / "day").exists()
+
+
+@pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGKILL])
+def test_nothing_stays_when_the_player_is_ended(number: int, tmp_path: Path) -> None:
+    script = (
+        "import asyncio, sys; sys.path.insert(0, 'tests')\n"
+        "from pathlib import Path\n"
+        "from test_emulator import a_day, ground, play_day, read_small\n"
+        "day = a_day(base=read_small().replace('seconds = 1', 'seconds = 300'))\n"
+        f"asyncio.run(play_day(day, ground(Path({str(tmp_path)!r}))))\n"
+    )
+    player = subprocess.Popen([sys.executable, "-c", script], cwd=ROOT, stderr=subprocess.DEVNULL)
+    part = tmp_path / "part-load-0.jsonl"
+
+    async def work() -> None:
+        await until(lambda: part.exists() and len(running_below(tmp_path)) == 2)
+        player.send_signal(number)
+        await until(lambda: player.poll() is not None)
+        await until(lambda: running_below(tmp_path) == [])
+
+    play(work)
+    assert judge(log.load(tmp_path)).word == "cut off"
+
+
+# The switch, on real connections
+
+
+class Echo:
+    """A party that sends back what it gets."""
+
+    def __init__(self) -> None:
+        self.heard: list[bytes] = []
+        self.passages: list[Passage] = []
+
+    def connected(self, copy: int, passage: Passage) -> Handler:
+        self.passages.append(passage)
+        return _Ear(self, passage)
+
+
+class _Ear:
+    def __init__(self, echo: Echo, passage: Passage) -> None:
+        self._echo, self._passage = echo, passage
+
+    def received(self, data: bytes) -> None:
+        self._echo.heard.append(data)
+        self._passage.send(data)
+
+    def ended(self) -> None:
+        self._echo.heard.append(b"end")
+
+
+class FakeClock(DayClock):
+    """A clock that a test sets; waits are short."""
+
+    def __init__(self) -> None:
+        super().__init__(0)
+        self.at = 0
+
+    def now(self) -> int:
+        return self.at
+
+    def wait_s(self, at: int) -> float:
+        return 0.005
+
+
+def on_the_switch(
+    troubles: str, work: Callable[[FakeClock, Gate, Echo, tuple[str, int]], Awaitable[None]]
+) -> None:
+    async def whole() -> None:
+        links, clock, echo = Links(a_day(troubles, NEAR)), FakeClock(), Echo()
+        inwards, outwards = links.between("copy:0", "server:0"), links.between("server:0", "copy:0")
+        gate = Gate(clock, 0, echo, inwards, outwards, random.Random(1))
+        host, port = gate.bind("127.16.0.1").split(":")
+        gate.start()
+        try:
+            await work(clock, gate, echo, (host, int(port)))
+        finally:
+            gate.close()
+
+    play(whole)
+
+
+NEAR = read_small()
+CUT = trouble("cut", 0.5, 0.25, between=["copy:0"], to=["server:0"])
+
+
+def test_bytes_pass_and_the_end_is_told() -> None:
+    async def work(clock: FakeClock, gate: Gate, echo: Echo, address: tuple[str, int]) -> None:
+        reader, writer = await soon(asyncio.open_connection(*address))
+        writer.write(b"hello")
+        assert await soon(reader.readexactly(5)) == b"hello"
+        writer.close()
+        await until(lambda: echo.heard == [b"hello", b"end"])
+        assert not gate.passages
+
+    on_the_switch("", work)
+
+
+def test_a_connection_never_comes_up_while_the_link_is_cut() -> None:
+    async def work(clock: FakeClock, gate: Gate, echo: Echo, address: tuple[str, int]) -> None:
+        clock.at = 600_000
+        gate.follow()
+        knocking = asyncio.ensure_future(asyncio.open_connection(*address))
+        await asyncio.sleep(0.2)
+        assert not knocking.done() and echo.passages == []
+        clock.at = 800_000
+        gate.follow()
+        _, writer = await soon(knocking)
+        await until(lambda: len(echo.passages) == 1)
+        writer.close()
+
+    on_the_switch(CUT, work)
+
+
+def test_what_is_sent_into_a_cut_arrives_after_it() -> None:
+    async def work(clock: FakeClock, gate: Gate, echo: Echo, address: tuple[str, int]) -> None:
+        reader, writer = await soon(asyncio.open_connection(*address))
+        await until(lambda: len(echo.passages) == 1)
+        clock.at = 600_000
+        gate.follow()
+        writer.write(b"late")
+        await asyncio.sleep(0.05)
+        assert echo.heard == []
+        clock.at = 800_000
+        gate.follow()
+        assert await soon(reader.readexactly(4)) == b"late"
+        writer.close()
+
+    on_the_switch(CUT, work)
+
+
+def test_a_dead_process_resets_and_refuses_until_it_is_up() -> None:
+    async def work(clock: FakeClock, gate: Gate, echo: Echo, address: tuple[str, int]) -> None:
+        reader, writer = await soon(asyncio.open_connection(*address))
+        await until(lambda: len(echo.passages) == 1)
+        gate.down()
+        with pytest.raises(ConnectionResetError):
+            await soon(reader.read(1))
+        writer.close()
+        with pytest.raises(ConnectionRefusedError):
+            await soon(asyncio.open_connection(*address))
+        gate.up()
+        _, writer = await soon(asyncio.open_connection(*address))
+        writer.close()
+
+    on_the_switch("", work)
+
+
+def test_an_answer_is_reset_in_the_middle() -> None:
+    async def work(clock: FakeClock, gate: Gate, echo: Echo, address: tuple[str, int]) -> None:
+        clock.at = 600_000
+        with socket.create_connection(address, PATIENCE_S) as own:
+            own.setblocking(False)
+            loop = asyncio.get_running_loop()
+            await loop.sock_sendall(own, b"answer")
+            got = b""
+            with pytest.raises(ConnectionResetError):
+                while True:
+                    got += await soon(loop.sock_recv(own, 16))
+            assert got in (b"", b"ans")  # a reset may overtake what came before it
+
+    on_the_switch(trouble("reset", 0.5, 0.25, between=["copy:0"], to=["server:0"], amount=1.0), work)
