Add the model, baselines and the console script; send a request again that crossed a close

Fleets of hundreds of copies fit no machine in real time. Baselines of our own stand behind the same events and actions: random, round robin, best of 2, best of 4 with and without redraw, least in flight, and one that sees the true state.

Cause found on the way: on `rolling` the emulator called a request lost that copy 2 never read. It was written 0.65 s after SIGTERM on a connection that the copy had just closed; the client saw the end before the reset behind it, and took it for a loss. Ruled out by the log: that it reached a server (no attempt), that the copy was killed (exit code 0).

Way not taken: a model of the decisions.

--- a/plumtrestle/load/client.py
+++ b/plumtrestle/load/client.py
@@ -230,6 +230,7 @@
         self._transport: asyncio.Transport | None = None
         self._ask: Ask | None = None
         self._has_heard = False  # something of the answer came
+        self._was_reset = False
         self._reset()
 
     def _reset(self) -> None:
@@ -326,11 +327,15 @@
             self._owner.answered(ask, 0, timed_out=True)
         self.close()
 
+    def eof_received(self) -> None:
+        # A close that crossed what was written is an end here, and a reset behind it.
+        self._was_reset = self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
+
     def connection_lost(self, exc: Exception | None) -> None:
         # A reset says that the request was not read; a mere end may come after it was.
-        was_read = self._has_heard or not isinstance(exc, (ConnectionResetError, BrokenPipeError))
+        is_reset = self._was_reset or isinstance(exc, (ConnectionResetError, BrokenPipeError))
         ask, self._ask = self._ask, None
-        self._owner.broken(self, ask, was_read)
+        self._owner.broken(self, ask, self._has_heard or not is_reset)
 
     def close(self) -> None:
         if self._transport is not None:
--- /dev/null
+++ b/plumtrestle/model/clients.py
@@ -0,0 +1,130 @@
+"""Modelled clients: open loop, with patience, retries and a bounded number of connections to their copy."""
+
+from __future__ import annotations
+
+import random
+import zlib
+from collections import deque
+from collections.abc import Callable
+
+from magpiemux.interface import RequestArrived
+from plumtrestle import events as log
+from plumtrestle.load.client import MOST_RETRIES
+from plumtrestle.model.queue import Queue
+from plumtrestle.model.servers import Sink
+from plumtrestle.world.arrivals import Arrival
+from plumtrestle.world.day import Day
+
+_REFUSED = (429, 503)
+_MOST_RETRY_AFTER_US = 400_000
+
+Take = Callable[[int, RequestArrived, int], bool]  # whether somebody is there to take it
+
+
+class Clients:
+    """The application beside one copy."""
+
+    def __init__(
+        self, day: Day, copy: int, queue: Queue, sink: Sink, rng: random.Random, take: Take, grace_us: int
+    ) -> None:
+        self._day, self._copy, self._queue, self._sink, self._rng = day, copy, queue, sink, rng
+        self._take, self._grace_us = take, grace_us
+        self._out: dict[int, Arrival] = {}  # tries that wait for an answer
+        self._waiting: deque[tuple[Arrival, int, int]] = deque()  # and for a connection: due, place
+
+    def begin(self, arrival: Arrival, place: int = 0) -> None:
+        """A first try is due, or a retry."""
+        kind = self._day.classes[arrival.service_class]
+        now = self._queue.now
+        left_us = max(arrival.at_us + kind.deadline_us - now, 1_000)
+        due = now + min(round(kind.deadline_us * self._day.clients.patience), left_us)
+        if len(self._out) >= self._day.clients.connections:
+            self._waiting.append((arrival, due, place))
+        else:
+            self._ask(arrival, due, place)
+
+    def _ask(self, arrival: Arrival, due: int, place: int) -> None:
+        kind, now = self._day.classes[arrival.service_class], self._queue.now
+        number = arrival.number * MOST_RETRIES + place
+        event = RequestArrived(
+            request=number,
+            service_class=kind.name,
+            tenant=self._day.tenants[arrival.tenant].name if arrival.tenant >= 0 else None,
+            key=zlib.crc32(b"%x" % arrival.key),
+            remaining_us=due - now,
+            client_retry=place > 0,
+            write=kind.repeat != "read_like",
+        )
+        self._out[number] = arrival
+        if due <= now or not self._take(number, event, arrival.work_us):
+            del self._out[number]
+            self._sink(
+                log.Unreached(
+                    at=now,
+                    request=number,
+                    first=arrival.number,
+                    copy=self._copy,
+                    service_class=arrival.service_class,
+                    meant=arrival.at_us,
+                )
+            )
+            self._retry(arrival, place, True, 0)
+            return
+        self._queue.at(due + self._grace_us, self._give_up, number)
+
+    def taken(self, number: int, arrival_first: int, due: int) -> None:
+        """Its last byte was written to a connection that was accepted."""
+        arrival = self._out[number]
+        self._sink(
+            log.Taken(
+                at=self._queue.now,
+                request=number,
+                first=arrival_first,
+                copy=self._copy,
+                service_class=arrival.service_class,
+                tenant=arrival.tenant,
+                meant=arrival.at_us,
+                due=due,
+            )
+        )
+
+    def answered(
+        self, request: int, status: int, attempt: int, after_us: int, timed_out: bool = False
+    ) -> None:
+        """An answer, or (status 0) the end of the connection without one."""
+        arrival = self._out.pop(request, None)
+        if arrival is None:
+            return
+        self._sink(
+            log.Answered(
+                at=self._queue.now, request=request, status=status, attempt=attempt, timed_out=timed_out
+            )
+        )
+        kind = self._day.classes[arrival.service_class]
+        harmless = status in _REFUSED or kind.repeat == "read_like"
+        harmless = harmless or (kind.repeat == "idempotency_key" and kind.group == "all")
+        self._retry(arrival, request % MOST_RETRIES, status != 200 and harmless, after_us)
+        self._next()
+
+    def lost(self, request: int) -> None:
+        """The copy was killed under it."""
+        self.answered(request, 0, -1, 0)
+
+    def _give_up(self, request: int) -> None:
+        if request in self._out:
+            self.answered(request, 0, -1, 0, timed_out=True)
+
+    def _next(self) -> None:
+        while self._waiting and len(self._out) < self._day.clients.connections:
+            self._ask(*self._waiting.popleft())
+
+    def _retry(self, arrival: Arrival, place: int, may: bool, after_us: int) -> None:
+        clients = self._day.clients
+        if not may or place >= min(clients.retries, MOST_RETRIES - 1):
+            return
+        wait_us = round(
+            max(clients.backoff_us * self._rng.uniform(0.5, 1.5), min(after_us, _MOST_RETRY_AFTER_US))
+        )
+        deadline = arrival.at_us + self._day.classes[arrival.service_class].deadline_us
+        if self._queue.now + wait_us < deadline:
+            self._queue.after(wait_us, self.begin, arrival, place + 1)
--- /dev/null
+++ b/plumtrestle/model/discovery.py
@@ -0,0 +1,129 @@
+"""Modelled discovery: the catalog told by calls and watches, one call after another."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from magpiemux.interface import ListedServer, ListKind, ServersListed, ServerState
+from plumtrestle import events as log
+from plumtrestle.catalog import Catalog, Change
+from plumtrestle.links import NEVER, Links
+from plumtrestle.model.queue import Queue
+from plumtrestle.model.servers import Sink
+from plumtrestle.world.day import DISCOVERY, Day
+
+WATCH_US = 20_000_000  # how long a sidecar's watch may wait for news
+_ANSWER_WITHIN_US = 5_000_000  # and how long it waits for an answer that is owed at once
+_STATES = {"active": ServerState.READY, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
+
+Answer = Callable[[int, "list[Change] | None", bool], None]  # version, entries (None: it failed), whole
+
+
+class ModelDiscovery:
+    """One service for all copies."""
+
+    def __init__(
+        self, day: Day, queue: Queue, links: Links, sink: Sink, rng: random.Random, epoch_us: int
+    ) -> None:
+        """`epoch_us` is the module's clock at the day's beginning."""
+        self.catalog = Catalog(day)
+        self._day, self._queue, self._sink, self._rng = day, queue, sink, rng
+        self._epoch_us = epoch_us
+        self._there = [links.between(each.party, DISCOVERY) for each in day.copies]
+        self._back = [links.between(DISCOVERY, each.party) for each in day.copies]
+        self._down = [each for each in day.troubles if each.kind == "discovery_down"]
+        self._free_at = 0
+        self._watches: dict[int, tuple[int, int, Answer]] = {}  # by call: copy, version, whom to tell
+        self._calls = 0
+        for change in self.catalog.changes:
+            queue.at(change.at, self._tell_watches)
+        for each in self._down:
+            queue.at(each.at_us, self._end_watches)
+
+    def call(self, copy: int, after: int | None, wait_us: int, answer: Answer) -> None:
+        """A copy calls; it is answered once, unless a cut holds the answer for good."""
+        now = self._queue.now
+        if self._there[copy].is_cut(now) or self._back[copy].is_cut(now):
+            self._queue.after(1_000_000, answer, 0, None, False)  # the connection never comes up
+            return
+        self._calls += 1
+        self._queue.at(
+            self._there[copy].arrival(now), self._called, self._calls, copy, after, wait_us, answer
+        )
+
+    def _called(self, call: int, copy: int, after: int | None, wait_us: int, answer: Answer) -> None:
+        now = self._queue.now
+        turn = max(self._free_at, now)
+        fails = self._is_down(now) or turn - now > self._day.discovery.wait_us
+        if fails or self._rng.random() < self._day.discovery.fail_rate:
+            self._fail(copy, answer)
+            return
+        self._free_at = turn + self._day.discovery.call_us
+        self._queue.at(self._free_at, self._handle, call, copy, after, wait_us, answer)
+
+    def _handle(self, call: int, copy: int, after: int | None, wait_us: int, answer: Answer) -> None:
+        newest = self.catalog.version(self._queue.now)
+        if after is not None and after >= newest and wait_us:
+            self._watches[call] = copy, after, answer
+            self._queue.after(wait_us, self._give_up, call)
+        else:
+            self._tell(copy, after, answer)
+
+    def _give_up(self, call: int) -> None:
+        if call in self._watches:
+            self._tell(*self._watches.pop(call))
+
+    def _tell_watches(self) -> None:
+        watches, self._watches = self._watches, {}
+        for copy, after, answer in watches.values():
+            self._tell(copy, after, answer)
+
+    def _end_watches(self) -> None:
+        watches, self._watches = self._watches, {}
+        for copy, _, answer in watches.values():
+            self._fail(copy, answer)
+
+    def _is_down(self, now: int) -> bool:
+        return any(each.at_us <= now < each.until_us for each in self._down)
+
+    def _tell(self, copy: int, after: int | None, answer: Answer) -> None:
+        version = self.catalog.version(self._queue.now)
+        whole = after is None or after > version
+        entries = self.catalog.whole(version) if whole else self.catalog.since(after or 1, version)
+        self._sink(log.Called(at=self._queue.now, copy=copy, well=True))
+        self._pass_on(copy, answer, version, entries, whole)
+
+    def _fail(self, copy: int, answer: Answer) -> None:
+        self._sink(log.Called(at=self._queue.now, copy=copy, well=False))
+        self._pass_on(copy, answer, 0, None, False)
+
+    def _pass_on(
+        self, copy: int, answer: Answer, version: int, entries: list[Change] | None, whole: bool
+    ) -> None:
+        at = self._back[copy].arrival(self._queue.now)
+        if at < NEVER:
+            self._queue.at(
+                min(at, self._queue.now + _ANSWER_WITHIN_US + WATCH_US), answer, version, entries, whole
+            )
+
+    def told(self, copy: int, version: int, entries: list[Change], whole: bool) -> None:
+        """Word reached a copy that runs."""
+        lines = [(each.server, each.state, each.started) for each in entries]
+        self._sink(log.Told(at=self._queue.now, copy=copy, version=version, full=whole, lines=lines))
+
+    def event(self, version: int, entries: list[Change], kind: ListKind) -> ServersListed:
+        """Entries as the module hears them."""
+        return ServersListed(kind, [self._listed(each) for each in entries], version)
+
+    def _listed(self, change: Change) -> ListedServer:
+        server = self._day.servers[change.server]
+        started = None if change.started is None else self._epoch_us + change.started
+        return ListedServer(
+            server=f"s-{server.number}",
+            zone=server.zone,
+            kind="m",
+            cell=server.cell,
+            state=_STATES[change.state],
+            started_at=started,
+        )
--- /dev/null
+++ b/plumtrestle/model/play.py
@@ -0,0 +1,269 @@
+"""Plays one day in virtual time and gives its log: the same for the same seed, on any machine."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+from magpiemux import Settings
+from magpiemux.adapter import settings_from_wire
+from magpiemux.interface import RequestArrived
+from plumtrestle import events as log
+from plumtrestle.catalog import server_lives
+from plumtrestle.links import NEVER, Links
+from plumtrestle.load.client import MOST_RETRIES
+from plumtrestle.model.clients import Clients
+from plumtrestle.model.discovery import ModelDiscovery
+from plumtrestle.model.policies import POLICIES, Policy, SeesTrueState
+from plumtrestle.model.queue import Queue
+from plumtrestle.model.servers import ModelServer, Sink
+from plumtrestle.model.sidecar import EPOCH_US, Sidecar
+from plumtrestle.streams import seeded
+from plumtrestle.world.arrivals import Arrival, arrivals
+from plumtrestle.world.day import Day, Trouble
+from plumtrestle.world.settings import settings
+
+START_US = 150_000  # from a process's start to its readiness, as real ones take on a quiet machine
+_LISTENS_ON_US = 400_000  # after SIGTERM
+_KILLED_AFTER_US = 700_000
+_LONGEST_US = 3_000_000
+_GRACE_US = 600_000
+_BEFORE = -(1 << 50)
+
+
+class Copy:
+    """One copy over the day: its processes, one after the other."""
+
+    def __init__(self, model: Model, number: int) -> None:
+        self.queue, self.day, self.number = model.queue, model.day, number
+        self.settings: Settings = settings_from_wire(settings(model.day, number))
+        self.servers, self.discovery = model.servers, model.discovery
+        own = model.day.copies[number].party
+        self.links = [model.links.between(own, each.party) for each in model.day.servers]
+        self._model = model
+        self._seeds = seeded(model.day.seed, own)
+        rng = seeded(model.day.seed, f"load.{number}")
+        self.client = Clients(model.day, number, model.queue, model.sink, rng, self._take, _GRACE_US)
+        self._process: Sidecar | None = None
+        self._accepts = False
+        self._pauses = 0
+        self._lives = 0
+
+    # What a process of it needs
+
+    def next_attempt(self) -> int:
+        return next(self._model.attempts)
+
+    def connected(self, server: int, opened: bool) -> None:
+        at = self.queue.now
+        self._model.sink(log.Connected(at=at, copy=self.number, server=server, opened=opened))
+
+    def tell(self, receiver: int | None, payload: bytes) -> None:
+        self._model.tell(self.number, receiver, payload)
+
+    def hear(self, sender: int, payload: bytes) -> None:
+        if self._process is not None and not self._process.is_over:
+            self._process.hear(sender, payload)
+
+    # Its life
+
+    def _say(self, what: str, life: int, code: int | None = None) -> None:
+        at = self.queue.now
+        self._model.sink(log.Copy(at=at, copy=self.number, life=life, what=what, code=code))
+
+    def start(self) -> None:
+        self._lives += 1
+        self._say("started", self._lives)
+        self.queue.after(START_US if self._lives > 1 else 0, self._ready, self._lives)
+
+    def _ready(self, life: int) -> None:
+        if life != self._lives:
+            return
+        policy = self._model.policy(self.settings, self._seeds.getrandbits(64))
+        if isinstance(policy, SeesTrueState):
+            policy.look = self._model.held
+        self._process = Sidecar(self, policy, self.discovery.catalog.version(self.queue.now))
+        self._accepts = True
+        self._say("ready", life)
+
+    def _take(self, number: int, event: RequestArrived, work: int) -> bool:
+        if not self._accepts or self._process is None:
+            return False
+        self.client.taken(number, number // MOST_RETRIES, self.queue.now + event.remaining_us)
+        self._process.take(number, event, work)
+        return True
+
+    def kill(self) -> bool:
+        """No if there is no process."""
+        process = self._process
+        if process is None or process.is_over:
+            return False
+        self._accepts = False
+        self._pauses = 0
+        self._say("killed", self._lives)
+        self._drop(process)
+        return True
+
+    def _drop(self, process: Sidecar) -> None:
+        for request in process.kill():
+            self.client.lost(request)
+
+    def stop(self) -> None:
+        """SIGTERM: it goes on listening a little, answers what it took, ends, and is started again."""
+        process, life = self._process, self._lives
+        if process is None or process.is_over:
+            return
+        self._say("stopping", life)
+        longest = min(max(each.deadline_us for each in self.day.classes), _LONGEST_US)
+        until = self.queue.now + longest + _KILLED_AFTER_US
+        self.queue.after(_LISTENS_ON_US, self._stop_listening, process)
+        self.queue.after(_LISTENS_ON_US, self._end_when_done, process, life, until)
+
+    def _stop_listening(self, process: Sidecar) -> None:
+        if process is self._process:
+            self._accepts = False
+
+    def _end_when_done(self, process: Sidecar, life: int, until: int) -> None:
+        if process.is_over:
+            return
+        if process.owed and self.queue.now < until:
+            self.queue.after(10_000, self._end_when_done, process, life, until)
+            return
+        self._drop(process)
+        self._say("ended", life, 0)
+        if process is self._process:
+            self.start()
+
+    def upgrade(self) -> None:
+        """A second process takes over once it is ready; the first answers what it holds."""
+        old, life = self._process, self._lives
+        if old is None or old.is_over:
+            return
+        self.start()
+        self.queue.after(START_US, self._retire, old, life)
+
+    def _retire(self, old: Sidecar, life: int) -> None:
+        self._say("stopping", life)
+        self._end_when_done(old, life, self.queue.now + _LONGEST_US + _KILLED_AFTER_US)
+
+    def pause(self) -> None:
+        if self._process is not None and not self._process.is_over:
+            self._pauses += 1
+            if self._pauses == 1:
+                self._say("paused", self._lives)
+            self._process.pause()
+
+    def resume(self) -> None:
+        if self._pauses:
+            self._pauses -= 1
+            if not self._pauses and self._process is not None:
+                self._say("resumed", self._lives)
+                self._process.resume()
+
+
+class Model:
+    """One day."""
+
+    def __init__(self, day: Day, policy: Callable[[Settings, int], Policy], sink: Sink) -> None:
+        self.day, self.policy, self.sink = day, policy, sink
+        self.queue = Queue()
+        self.links = Links(day)
+        self.attempts = itertools.count()
+        self.servers = [
+            ModelServer(day, each, self.queue, self.links, sink, seeded(day.seed, each.party))
+            for each in day.servers
+        ]
+        self.discovery = ModelDiscovery(
+            day, self.queue, self.links, sink, seeded(day.seed, "discovery"), EPOCH_US
+        )
+        self._chances = seeded(day.seed, "datagrams")
+        self._copies = [Copy(self, each.number) for each in day.copies]
+
+    def play(self) -> None:
+        """The day, until every answer that comes has come."""
+        for copy in self._copies:
+            copy.start()
+        for at, server, what in server_lives(self.day):
+            self.queue.at(at, self.servers[server].live, what)
+        for trouble in self.day.troubles:
+            self._plan(trouble)
+        coming = iter(arrivals(self.day))
+        self._next(coming)
+        longest = max(each.deadline_us for each in self.day.classes)
+        self.queue.run(self.day.length_us + longest + 2 * _GRACE_US)
+        self.sink(log.Finished(at=self.queue.now))
+
+    def held(self, server: str) -> int:
+        """What a server holds now."""
+        return self.servers[int(server[2:])].held
+
+    def _next(self, coming: Iterator[Arrival]) -> None:
+        """The next first try, so that the queue never holds more than one of them."""
+        arrival = next(coming, None)
+        if arrival is not None:
+            self.queue.at(arrival.at_us, self._begin, arrival, coming)
+
+    def _begin(self, arrival: Arrival, coming: Iterator[Arrival]) -> None:
+        self._copies[arrival.copy].client.begin(arrival)
+        self._next(coming)
+
+    def _plan(self, trouble: Trouble) -> None:
+        def tell(begins: bool) -> None:
+            self.sink(log.Trouble(at=self.queue.now, number=trouble.number, begins=begins))
+
+        self.queue.at(trouble.at_us, tell, True)
+        has_end = trouble.until_us > trouble.at_us
+        if has_end:
+            self.queue.at(trouble.until_us, tell, False)
+        for party in trouble.who:
+            if not party.startswith("copy:"):
+                continue
+            copy = self._copies[int(party[5:])]
+            if trouble.kind in ("kill", "damaged", "clock"):
+                self.queue.at(trouble.at_us, self._kill, copy, trouble, has_end)
+            elif trouble.kind == "term":
+                self.queue.at(trouble.at_us, copy.stop)
+            elif trouble.kind == "upgrade":
+                self.queue.at(trouble.at_us, copy.upgrade)
+            elif trouble.kind == "pause":
+                self.queue.at(trouble.at_us, copy.pause)
+                self.queue.at(trouble.until_us, copy.resume)
+
+    def _kill(self, copy: Copy, trouble: Trouble, has_end: bool) -> None:
+        if copy.kill() and (has_end or trouble.kind != "kill"):
+            self.queue.at(trouble.until_us, copy.start)
+
+    def tell(self, sender: int, receiver: int | None, payload: bytes) -> None:
+        """A datagram, or one to everybody."""
+        for target in range(len(self._copies)) if receiver is None else (receiver,):
+            if target == sender:
+                continue
+            chances = self._chances.random(), self._chances.random(), self._chances.random()
+            link = self.links.between(f"copy:{sender}", f"copy:{target}")
+            arrivals_at = link.arrivals(self.queue.now, chances)
+            if not arrivals_at:
+                self._datagram(sender, target, payload, False)
+            for at in arrivals_at:
+                if at < NEVER:
+                    self.queue.at(at, self._deliver, sender, target, payload)
+
+    def _deliver(self, sender: int, target: int, payload: bytes) -> None:
+        self._datagram(sender, target, payload, True)
+        self._copies[target].hear(sender, payload)
+
+    def _datagram(self, sender: int, target: int, payload: bytes, passed: bool) -> None:
+        at, size = self.queue.now, len(payload)
+        self.sink(log.Datagram(at=at, sender=sender, receiver=target, size=size, passed=passed))
+
+
+def play(day: Day, policy: str, sink: Sink, variant: str | None = None) -> None:
+    """Play a day with a policy by its name, and hand every event of its log to `sink`."""
+    sink(log.Began(at=_BEFORE, day=day, engine="model", variant=variant or policy))
+    Model(day, POLICIES[policy], sink).play()
+
+
+def play_into(day: Day, policy: str, path: Path) -> None:
+    """Play a day and write its log."""
+    with log.Writer(path) as writer:
+        play(day, policy, writer.write)
--- /dev/null
+++ b/plumtrestle/model/servers.py
@@ -0,0 +1,99 @@
+"""Modelled servers: stations with connections, and what a copy's attempt meets on its way there and back."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from plumtrestle import events as log
+from plumtrestle.links import NEVER, Links
+from plumtrestle.model.queue import Queue
+from plumtrestle.station import Job, Place, Station
+from plumtrestle.world.day import Day, Server
+
+Sink = Callable[[log.Event], None]
+# Told at the copy: how the attempt ended there (served, error, full, lost, refused, cut off).
+Heard = Callable[[str], None]
+
+
+class ModelServer:
+    """One server and its process."""
+
+    def __init__(
+        self, day: Day, server: Server, queue: Queue, links: Links, sink: Sink, rng: random.Random
+    ) -> None:
+        self.server = server
+        self.is_up = True
+        self.epoch = 0  # of its process; connections to an older one are gone
+        self.open = 0  # connections
+        self._station = Station(server, day.troubles)
+        self._queue, self._sink, self._rng = queue, sink, rng
+        self._back = [links.between(server.party, each.party) for each in day.copies]
+        self._owed: dict[int, tuple[int, int, Heard]] = {}  # by attempt: copy, request, whom to tell
+
+    @property
+    def held(self) -> int:
+        """Requests at work or waiting; a process that is not there holds more than any."""
+        return self._station.held if self.is_up else 1 << 30
+
+    def live(self, what: str) -> None:
+        """Its process ends, begins, drains or goes, as the day has it."""
+        now = self._queue.now
+        if what in ("down", "gone"):
+            self.is_up = False
+            self.epoch += 1
+            self.open = 0
+            for job in self._station.restart(now):
+                self._end(job.attempt, "lost")
+        elif what == "up":
+            self.is_up = True
+            self._station.restart(now)
+        self._sink(log.Server(at=now, server=self.server.number, what=what))
+
+    def arrive(
+        self, copy: int, request: int, attempt: int, sent: int, work: int, epoch: int, heard: Heard
+    ) -> None:
+        """The last byte of an attempt is here, on a connection to the process of `epoch`."""
+        now = self._queue.now
+        if not self.is_up or epoch != self.epoch:
+            self._tell(copy, heard, "lost")
+            return
+        self._sink(
+            log.Arrived(
+                at=now,
+                request=request,
+                copy=copy,
+                server=self.server.number,
+                attempt=attempt,
+                sent=sent,
+                work=work,
+            )
+        )
+        self._owed[attempt] = copy, request, heard
+        job = Job(attempt, work, self._rng.random())
+        place = self._station.offer(now, job)
+        if place is Place.FULL:
+            self._end(attempt, "full")
+        elif place is Place.WORKING:
+            self._queue.at(job.ends, self._done, job)
+
+    def _done(self, job: Job) -> None:
+        if not self._station.holds(job):
+            return
+        well, after = self._station.end(self._queue.now, job)
+        if after is not None:
+            self._queue.at(after.ends, self._done, after)
+        self._end(job.attempt, "served" if well else "error")
+
+    def _end(self, attempt: int, how: str) -> None:
+        copy, request, heard = self._owed.pop(attempt)
+        self._sink(log.Ended(at=self._queue.now, attempt=attempt, request=request, how=how))
+        self._tell(copy, heard, how)
+
+    def _tell(self, copy: int, heard: Heard, how: str) -> None:
+        link = self._back[copy]
+        if link.cuts_off(self._queue.now, self._rng.random()):
+            how = "cut off"
+        at = link.arrival(self._queue.now)
+        if at < NEVER:
+            self._queue.at(at, heard, how)
--- /dev/null
+++ b/plumtrestle/model/sidecar.py
@@ -0,0 +1,407 @@
+"""A modelled copy: the real decisions, with the sidecar's ways of carrying them out, in virtual time."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from magpiemux.interface import (
+    AnswerStarted,
+    AttemptEnded,
+    Cancel,
+    CloseIdle,
+    Event,
+    Fail,
+    FetchList,
+    Follow,
+    ListKind,
+    MessageReceived,
+    Outcome,
+    Refuse,
+    RequestArrived,
+    Send,
+    ServersListed,
+    SetTimer,
+    Settings,
+    Tell,
+    TimerFired,
+)
+from plumtrestle.catalog import Change
+from plumtrestle.links import NEVER, Link
+from plumtrestle.model.clients import Clients
+from plumtrestle.model.discovery import WATCH_US, ModelDiscovery
+from plumtrestle.model.policies import Policy
+from plumtrestle.model.queue import Queue
+from plumtrestle.model.servers import ModelServer
+from plumtrestle.world.day import Day
+
+EPOCH_US = 1_700_000_000_000_000  # the module's clock at the day's beginning
+_IDLE_MARGIN = 0.9  # of the idle limit, after which a connection is not used again
+_OUTCOMES = {
+    "served": Outcome.DELIVERED,
+    "error": Outcome.ERROR,
+    "full": Outcome.FULL,
+    "lost": Outcome.DROPPED,
+    "cut off": Outcome.DROPPED,
+}
+
+
+@dataclass(slots=True)
+class _Attempt:
+    request: int
+    index: int
+    number: int  # unique over the day
+    server: int
+    sent_at: int
+    until: int
+    epoch: int = -1  # of the server's process that its connection goes to
+    is_over: bool = False
+    is_written: bool = False
+
+
+class _Held:
+    """A request that was taken."""
+
+    __slots__ = ("answered", "attempts", "out", "work")
+
+    def __init__(self, work: int) -> None:
+        self.work = work
+        self.attempts: list[_Attempt] = []
+        self.answered = False
+        self.out = 0
+
+
+class Place(Protocol):
+    """What one process of a copy needs of the rest of the model."""
+
+    queue: Queue
+    day: Day
+    settings: Settings
+    number: int
+    servers: list[ModelServer]
+    discovery: ModelDiscovery
+    links: list[Link]
+    client: Clients
+
+    def next_attempt(self) -> int: ...
+
+    def connected(self, server: int, opened: bool) -> None: ...
+
+    def tell(self, receiver: int | None, payload: bytes) -> None: ...
+
+
+class Sidecar:
+    """One process of one copy, from its start to its end."""
+
+    def __init__(self, place: Place, policy: Policy, version: int) -> None:
+        self._place, self._policy, self._queue = place, policy, place.queue
+        self._held: dict[int, _Held] = {}
+        self._idle: dict[int, list[tuple[int, int]]] = {}  # by server: (epoch, since), the latest last
+        self._listed: dict[int, Change] = {}
+        self._events: deque[Event] = deque()
+        self._handles = False
+        self._version = version
+        self._watching = 0  # which watch is the one that counts
+        self._watch_runs = self._watch_answered = False
+        self._paused: list[Callable[[], None]] | None = None
+        self.is_over = False
+        self.owed = 0
+        known = place.discovery.catalog.whole(version)
+        self._take_list(known, True)
+        self._post(place.discovery.event(version, known, ListKind.REMEMBERED))
+
+    # Its life
+
+    def pause(self) -> None:
+        if self._paused is None:
+            self._paused = []
+
+    def resume(self) -> None:
+        waiting, self._paused = self._paused or [], None
+        for act in waiting:
+            act()
+
+    def kill(self) -> list[int]:
+        """It is gone; give the requests that it held, and close its connections."""
+        self.is_over = True
+        for server, idle in self._idle.items():
+            for epoch, _ in idle:
+                self._closed(server, epoch)
+        return [number for number, held in self._held.items() if not held.answered]
+
+    def _when_running(self, act: Callable[[], None]) -> None:
+        if self.is_over:
+            return
+        if self._paused is not None:
+            self._paused.append(act)
+        else:
+            act()
+
+    # Events
+
+    def take(self, request: int, event: RequestArrived, work: int) -> None:
+        """A client's request, written to a connection that was accepted."""
+
+        def act() -> None:
+            self._held[request] = _Held(work)
+            self.owed += 1
+            self._post(event)
+
+        self._when_running(act)
+
+    def hear(self, sender: int, payload: bytes) -> None:
+        """A datagram of another copy."""
+        self._when_running(lambda: self._post(MessageReceived(sender, payload)))
+
+    def _post(self, event: Event) -> None:
+        self._events.append(event)
+        if self._handles:
+            return
+        self._handles = True
+        try:
+            while self._events:
+                event = self._events.popleft()
+                if isinstance(event, AttemptEnded):
+                    held = self._held.get(event.request)
+                    event.answered = held is None or held.answered
+                for action in self._policy.handle(EPOCH_US + self._queue.now, event):
+                    self._carry_out(action)
+                if isinstance(event, (AttemptEnded, AnswerStarted)):
+                    self._forget_if_over(event.request)
+        finally:
+            self._handles = False
+
+    def _carry_out(self, action: object) -> None:
+        match action:
+            case Send():
+                self._send(action)
+            case SetTimer():
+                self._queue.after(max(action.in_us, 0), self._fired, action.token)
+            case Refuse():
+                self._answer(action.request, 503, after_us=action.retry_after_us)
+            case Fail():
+                self._answer(action.request, 502)
+            case Cancel():
+                held = self._held.get(action.request)
+                if held is not None and action.attempt < len(held.attempts):
+                    self._end(held.attempts[action.attempt], Outcome.CANCELLED)
+            case CloseIdle():
+                self._close_idle(int(action.server[2:]))
+            case Follow():
+                self._follow(action.wanted)
+            case FetchList():
+                self._place.discovery.call(self._place.number, None, 0, self._fetched)
+            case Tell():
+                self._place.tell(action.receiver, action.payload)
+            case _:
+                pass  # lines for a log; probes are off
+
+    def _fired(self, token: str) -> None:
+        self._when_running(lambda: self._post(TimerFired(token)))
+
+    # The list
+
+    def _follow(self, wanted: bool) -> None:
+        if wanted and self._watch_runs and not self._watch_answered:
+            return
+        self._watching += 1
+        self._watch_runs = wanted
+        self._watch_answered = False
+        if wanted:
+            self._watch(self._watching, 0)
+
+    def _watch(self, watch: int, wait_us: int) -> None:
+        def answered(version: int, entries: list[Change] | None, whole: bool) -> None:
+            self._when_running(lambda: self._watched(watch, version, entries, whole))
+
+        self._place.discovery.call(self._place.number, self._version, wait_us, answered)
+
+    def _watched(self, watch: int, version: int, entries: list[Change] | None, whole: bool) -> None:
+        if watch != self._watching:
+            return
+        if entries is None:
+            self._watch_runs = False
+            self._post(ServersListed(ListKind.FAILED))
+            return
+        if whole or entries or not self._watch_answered:
+            self._watch_answered = True
+            self._heard(version, entries, whole)
+        if watch == self._watching:
+            self._watch(watch, WATCH_US)
+
+    def _fetched(self, version: int, entries: list[Change] | None, whole: bool) -> None:
+        def act() -> None:
+            if entries is None:
+                self._post(ServersListed(ListKind.FAILED))
+            else:
+                self._heard(version, entries, whole)
+
+        self._when_running(act)
+
+    def _heard(self, version: int, entries: list[Change], whole: bool) -> None:
+        self._version = version
+        self._place.discovery.told(self._place.number, version, entries, whole)
+        self._take_list(entries, whole)
+        kind = ListKind.COMPLETE if whole else ListKind.CHANGES
+        self._post(self._place.discovery.event(version, entries, kind))
+
+    def _take_list(self, entries: list[Change], whole: bool) -> None:
+        before = dict(self._listed)
+        if whole:
+            self._listed = {}
+        self._listed.update({each.server: each for each in entries})
+        for server, old in before.items():
+            now = self._listed.get(server)
+            if now is None or now.state != "active" or now.started != old.started:
+                self._close_idle(server)
+
+    # Attempts
+
+    def _send(self, action: Send) -> None:
+        held = self._held[action.request]
+        server = int(action.server[2:])
+        now = self._queue.now
+        until = action.until - EPOCH_US
+        number = self._place.next_attempt()
+        attempt = _Attempt(action.request, len(held.attempts), number, server, now, until)
+        held.attempts.append(attempt)
+        held.out += 1
+        listed = self._listed.get(server)
+        if listed is None or listed.state != "active" or until <= now:
+            self._queue.at(now, self._ends, attempt, Outcome.UNSENT)
+            return
+        self._queue.at(until, self._expire, attempt)
+        epoch = self._idle_connection(server)
+        if epoch is not None:
+            self._write(attempt, epoch)
+        else:
+            self._dial(attempt)
+
+    def _idle_connection(self, server: int) -> int | None:
+        """The epoch that the most recently used good connection goes to."""
+        idle = self._idle.get(server)
+        use_within = self._place.settings.limits.idle_close_us * _IDLE_MARGIN
+        while idle:
+            epoch, since = idle.pop()
+            if epoch == self._place.servers[server].epoch or self._place.links[server].is_cut(
+                self._queue.now
+            ):
+                if self._queue.now - since < use_within:
+                    return epoch
+            self._closed(server, epoch)
+        return None
+
+    def _dial(self, attempt: _Attempt) -> None:
+        """A connection takes one way there and one back; a cut or silent one never comes up."""
+        now, link = self._queue.now, self._place.links[attempt.server]
+        there = link.arrival(now)
+        if link.is_cut(now) or there >= NEVER:
+            within = self._place.settings.limits.dial_timeout_us
+            self._queue.at(now + within, self._ends, attempt, Outcome.DIAL_FAILED)
+            return
+        self._queue.at(there + (there - now), self._dialled, attempt)
+
+    def _dialled(self, attempt: _Attempt) -> None:
+        server = self._place.servers[attempt.server]
+        if not server.is_up or server.open >= server.server.connections:
+            self._ends(attempt, Outcome.DIAL_FAILED)
+            return
+        server.open += 1
+        self._place.connected(attempt.server, True)
+        epoch = server.epoch
+
+        def act() -> None:
+            if attempt.is_over:
+                self._free(attempt.server, epoch)
+            else:
+                self._write(attempt, epoch)
+
+        if self.is_over:
+            self._closed(attempt.server, epoch)
+        self._when_running(act)
+
+    def _write(self, attempt: _Attempt, epoch: int) -> None:
+        attempt.epoch, attempt.is_written = epoch, True
+        at = self._place.links[attempt.server].arrival(self._queue.now)
+        if at >= NEVER:
+            return
+        work = self._held[attempt.request].work
+        self._queue.at(
+            at,
+            self._place.servers[attempt.server].arrive,
+            self._place.number,
+            attempt.request,
+            attempt.number,
+            self._queue.now,
+            work,
+            epoch,
+            lambda how: self._when_running(lambda: self._came_back(attempt, how)),
+        )
+
+    def _came_back(self, attempt: _Attempt, how: str) -> None:
+        if attempt.is_over:
+            return
+        outcome = _OUTCOMES[how]
+        if outcome is Outcome.DROPPED:
+            self._closed(attempt.server, attempt.epoch)
+        else:
+            self._free(attempt.server, attempt.epoch)
+        attempt.is_written = False  # its connection is another's now
+        if outcome is Outcome.DELIVERED:
+            self._answer(attempt.request, 200, attempt.number)
+        self._end(attempt, outcome)
+
+    def _expire(self, attempt: _Attempt) -> None:
+        outcome = Outcome.EXPIRED if attempt.is_written else Outcome.DIAL_FAILED
+        self._when_running(lambda: self._end(attempt, outcome))
+
+    def _ends(self, attempt: _Attempt, outcome: Outcome) -> None:
+        self._when_running(lambda: self._end(attempt, outcome))
+
+    def _end(self, attempt: _Attempt, outcome: Outcome) -> None:
+        if attempt.is_over:
+            return
+        attempt.is_over = True
+        if attempt.is_written:
+            self._closed(attempt.server, attempt.epoch)
+        self._held[attempt.request].out -= 1
+        elapsed = self._queue.now - attempt.sent_at
+        name = f"s-{attempt.server}"
+        self._post(AttemptEnded(attempt.request, attempt.index, name, outcome, elapsed, False))
+
+    # Connections
+
+    def _free(self, server: int, epoch: int) -> None:
+        listed = self._listed.get(server)
+        if listed is None or listed.state != "active":
+            self._closed(server, epoch)
+        else:
+            self._idle.setdefault(server, []).append((epoch, self._queue.now))
+
+    def _close_idle(self, server: int) -> None:
+        for epoch, _ in self._idle.pop(server, ()):
+            self._closed(server, epoch)
+
+    def _closed(self, server: int, epoch: int) -> None:
+        other = self._place.servers[server]
+        if other.epoch == epoch:
+            other.open -= 1
+        self._place.connected(server, False)
+
+    # Answers
+
+    def _answer(self, request: int, status: int, attempt: int = -1, after_us: int = 0) -> None:
+        held = self._held.get(request)
+        if held is None or held.answered:
+            return
+        held.answered = True
+        self.owed -= 1
+        self._place.client.answered(request, status, attempt, after_us)
+        self._forget_if_over(request)
+
+    def _forget_if_over(self, request: int) -> None:
+        held = self._held.get(request)
+        if held is not None and held.answered and not held.out:
+            del self._held[request]
--- /dev/null
+++ b/plumtrestle/report/tables.py
@@ -0,0 +1,108 @@
+"""A day's verdict and account as plain values, and as tables for a terminal."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from rich.console import Console
+from rich.markup import escape
+from rich.table import Table
+
+from plumtrestle.rules import Account, Verdict
+from plumtrestle.rules.history import History
+from plumtrestle.world.day import US
+
+_MOST_BREACHES = 10
+_COLOURS = {"kept": "green", "broken": "red"}
+_BLOCKS = " ▁▂▃▄▅▆▇█"
+
+
+def plain(history: History, verdict: Verdict, account: Account) -> dict[str, Any]:
+    """Everything that a day came to, for `--json`."""
+    return {
+        "world": history.day.world,
+        "seed": history.day.seed,
+        "engine": history.engine,
+        "variant": history.variant,
+        "verdict": verdict.word,
+        "unfair": list(verdict.unfair),
+        "breaches": [{"rule": each.rule, "at_us": each.at, "text": each.text} for each in verdict.breaches],
+        "asked": account.asked,
+        "served": account.served,
+        "worth": account.worth,
+        "refused": account.refused,
+        "failed": account.failed,
+        "attempts": account.attempts,
+        "by_class": account.by_class,
+        "by_zone": account.by_zone,
+        "by_second": account.by_second,
+        "prices": account.prices,
+        "latency_ms": account.latency_ms,
+        "recovery_s": [
+            {"trouble": number, "kind": kind, "seconds": seconds}
+            for number, kind, seconds in account.recovery_s
+        ],
+    }
+
+
+def show(console: Console, history: History, verdict: Verdict, account: Account) -> None:
+    """A day on a terminal."""
+    day = history.day
+    console.print(
+        f"[bold]{escape(day.world)}[/] seed {day.seed}, {history.engine}, {escape(history.variant)}:"
+        f" {len(day.copies)} copies, {len(day.servers)} servers, {account.asked} requests"
+    )
+    console.print(_figures(account))
+    console.print(f"served by second  [cyan]{sparkline(account.by_second)}[/]")
+    if day.troubles:
+        console.print(_troubles(history, account))
+    _say_verdict(console, verdict)
+
+
+def sparkline(parts: list[float]) -> str:
+    """Parts from 0 to 1, a character each."""
+    return "".join(_BLOCKS[min(max(round(each * 8), 0), 8)] for each in parts)
+
+
+def _figures(account: Account) -> Table:
+    table = Table(show_header=False, box=None, pad_edge=False)
+    table.add_column(style="dim")
+    table.add_column()
+    rows = {
+        "served": f"{account.served:.4f}, {account.worth:.4f} after prices",
+        "by class": _named(account.by_class),
+        "by zone": _named(account.by_zone),
+        "refused, failed": f"{account.refused:.4f}, {account.failed:.4f} of first tries",
+        "attempts": f"{account.attempts:.3f} a first try",
+        "latency, ms": ", ".join(f"{name} {value:.1f}" for name, value in account.latency_ms.items()),
+        "prices": _named(account.prices),
+    }
+    for name, value in rows.items():
+        table.add_row(name, value)
+    return table
+
+
+def _named(values: dict[str, float]) -> str:
+    return ", ".join(f"{escape(name)} {value:.4f}" for name, value in values.items())
+
+
+def _troubles(history: History, account: Account) -> Table:
+    table = Table(
+        "trouble", "kind", "from, s", "to, s", "who", "served again after, s", box=None, pad_edge=False
+    )
+    for each, (_, _, seconds) in zip(history.day.troubles, account.recovery_s, strict=True):
+        who = ", ".join(each.who[:4]) + (f" and {len(each.who) - 4} more" if len(each.who) > 4 else "")
+        back = "not by the end" if seconds is None else f"{seconds:.1f}"
+        times = f"{each.at_us / US:.2f}", f"{each.until_us / US:.2f}"
+        table.add_row(str(each.number), each.kind, *times, escape(who), back)
+    return table
+
+
+def _say_verdict(console: Console, verdict: Verdict) -> None:
+    console.print(f"rules: [bold {_COLOURS.get(verdict.word, 'yellow')}]{verdict.word}[/]")
+    for breach in verdict.breaches[:_MOST_BREACHES]:
+        console.print(f"  {breach.at / US:9.3f} s  {breach.rule}: {escape(breach.text)}")
+    if len(verdict.breaches) > _MOST_BREACHES:
+        console.print(f"  and {len(verdict.breaches) - _MOST_BREACHES} more")
+    for each in verdict.unfair:
+        console.print(f"  not scored: {escape(each)}")
--- /dev/null
+++ b/tests/test_model.py
@@ -0,0 +1,108 @@
+"""The model: the same log for the same seed, and results that are known in closed form."""
+
+from __future__ import annotations
+
+from math import comb
+from pathlib import Path
+
+import pytest
+from test_ground import trouble
+from test_judge import WORLD, judged_day
+
+from magpiemux.adapter import settings_from_wire
+from magpiemux.interface import (
+    AttemptEnded,
+    ListedServer,
+    ListKind,
+    Outcome,
+    RequestArrived,
+    Send,
+    ServersListed,
+)
+from plumtrestle import events as log
+from plumtrestle.model.play import play, play_into
+from plumtrestle.model.policies import POLICIES, SeesTrueState
+from plumtrestle.rules import account, judge
+from plumtrestle.world import Day, draw, read, shipped_worlds
+from plumtrestle.world.read import parse
+from plumtrestle.world.settings import settings
+
+
+def modelled(day: Day, policy: str = "module") -> list[log.Event]:
+    out: list[log.Event] = []
+    play(day, policy, out.append)
+    return out
+
+
+def test_the_same_day_gives_the_same_log(tmp_path: Path) -> None:
+    day = draw(read("zone-lost"), 3)
+    for name in ("one", "other"):
+        play_into(day, "module", tmp_path / name)
+    assert (tmp_path / "one").read_bytes() == (tmp_path / "other").read_bytes()
+
+
+@pytest.mark.parametrize("world", [each for each in shipped_worlds() if each != "fleet"])
+def test_the_module_keeps_the_rules_on_every_shipped_world(world: str) -> None:
+    verdict = judge(modelled(draw(read(world), 2)))
+    assert verdict.word == "kept", verdict.breaches[:3]
+
+
+@pytest.mark.parametrize("policy", sorted(POLICIES))
+def test_every_policy_answers_what_it_took(policy: str) -> None:
+    events = modelled(draw(read("three-copies"), 4), policy)
+    assert {each.rule for each in judge(events).breaches} <= {"drained", "cold"}
+    assert account(events).served > 0.8
+
+
+def test_bad_servers_cost_the_plain_draw_more_than_the_module() -> None:
+    day = draw(read("bad-servers"), 1)
+    served = {policy: account(modelled(day, policy)).served for policy in ("module", "random", "best-of-2")}
+    assert served["module"] > max(served["random"], served["best-of-2"]) + 0.02
+
+
+ALL_TROUBLES = (
+    trouble("pause", 1, 2, who=["copy:0"])
+    + trouble("kill", 2, 1, who=["copy:1"])
+    + trouble("term", 5, 0, who=["copy:0"])
+    + trouble("upgrade", 8, 0, who=["copy:1"])
+    + trouble("hup", 9, 0, who=["copy:*"])
+    + trouble("clock", 10, 0, who=["copy:1"], amount=60.0)
+    + trouble("cut", 11, 1, between=["copy:0"], to=["discovery", "server:1"])
+    + trouble("hold", 13, 1, between=["copy:1"], to=["server:*"])
+    + trouble("discovery_down", 14, 2)
+    + trouble("silent", 15, 1, who=["server:2"])
+    + trouble("drain", 16, 1, who=["server:3"])
+)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_every_trouble_at_once_keeps_the_rules(seed: int) -> None:
+    world = WORLD.replace("count = 2", "count = 2\noperated = true").replace(
+        "rate_per_s = 10", "rate_per_s = 40"
+    )
+    verdict = judge(modelled(draw(parse(world + ALL_TROUBLES, "all"), seed)))
+    assert verdict.breaches == () and verdict.is_whole
+
+
+@pytest.mark.parametrize(("drawn", "busy"), [(k, busy) for k in (1, 2, 3) for busy in (5, 25, 40, 47)])
+def test_draws_until_an_idle_server_are_those_of_the_paper(drawn: int, busy: int) -> None:
+    """1 / (1 - C(nU, k) / C(n, k)): the draws that a request needs where nU of n servers are busy, c = 1."""
+    count, requests = 50, 12_000
+    given = settings_from_wire({**settings(judged_day(), 0), "bounds": {"sendCap": 10_000}})
+    policy = SeesTrueState(given, 5)
+    policy.drawn, policy.redraws = drawn, 10_000
+    policy.look = lambda server: int(int(server[2:]) < busy)
+    policy.handle(0, ServersListed(ListKind.COMPLETE, [ListedServer(f"s-{each}") for each in range(count)]))
+    draws = 0
+    for number in range(requests):
+        actions = policy.handle(0, RequestArrived(number, "look", None, None, 1_000_000))
+        while True:
+            draws += 1
+            server = next(each.server for each in actions if isinstance(each, Send))
+            is_busy = bool(policy.look(server))
+            outcome = Outcome.FULL if is_busy else Outcome.DELIVERED
+            actions = policy.handle(0, AttemptEnded(number, 0, server, outcome, 1, not is_busy))
+            if not is_busy:
+                break
+    expected = 1 / (1 - comb(busy, drawn) / comb(count, drawn))
+    assert draws / requests == pytest.approx(expected, rel=0.02)
