--- a/plumtrestle/cli.py
+++ b/plumtrestle/cli.py
@@ -11,27 +11,44 @@
 import subprocess
 import sys
 import tomllib
+from dataclasses import asdict
 from datetime import UTC, datetime
+from enum import Enum
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any
 
 import typer
 from rich.console import Console
+from rich.progress import Progress
 
 from plumtrestle import events as log
 from plumtrestle.emulator.copies import PlayError
 from plumtrestle.emulator.play import Ground
 from plumtrestle.emulator.play import play as play_real
+from plumtrestle.experiment.compare import compared, knee
+from plumtrestle.experiment.grid import Grid
+from plumtrestle.experiment.grid import play as play_grid
+from plumtrestle.experiment.store import Key, Store, StoreError
+from plumtrestle.experiment.variants import HELP, Variant, variant
 from plumtrestle.model.play import play as play_model
 from plumtrestle.model.policies import POLICIES
 from plumtrestle.report import tables
+from plumtrestle.report.page import page
 from plumtrestle.rules import account, judge
 from plumtrestle.rules.history import History, gather
-from plumtrestle.world import WorldError, draw, read, shipped, shipped_worlds
+from plumtrestle.world import WorldError, draw, read, shipped, shipped_worlds, text_of
 
 EXIT_CODES = {"kept": 0, "broken": 1}
 USER_ERROR, SAYS_NOTHING, INTERRUPTED = 2, 3, 130
 
+
+class Engine(Enum):
+    """How days are played."""
+
+    MODEL = "model"
+    EMULATOR = "emulator"
+
+
 app = typer.Typer(
     help="Plays days of a deployment, with real copies of the sidecar or in a model, and judges them.",
     no_args_is_help=True,
@@ -53,7 +70,7 @@
         for each in fault.faults:
             print(f"plumtrestle: {fault.source}: {each}", file=sys.stderr)
         sys.exit(USER_ERROR)
-    except (PlayError, log.LogError) as fault:
+    except (PlayError, StoreError, log.LogError) as fault:
         print(f"plumtrestle: {fault}", file=sys.stderr)
         sys.exit(USER_ERROR)
     except KeyboardInterrupt:
@@ -117,6 +134,126 @@
     tell(gather(log.load(played)), as_json)
 
 
+Worlds = Annotated[list[str], typer.Argument(metavar="WORLD...", help="World files or shipped worlds.")]
+Variants = Annotated[list[str], typer.Option("--variant", "-v", help=HELP)]
+Seeds = Annotated[int, typer.Option(min=1, max=1_000, help="How many days of each world.")]
+Jobs = Annotated[int, typer.Option(min=1, max=64, help="Days played at once; real copies: one.")]
+Results = Annotated[Path, typer.Option("--db", help="The SQLite file of results; what it has is not played.")]
+
+
+@app.command(epilog="Example: plumtrestle compare zone-lost rolling -v module -v best-of-2 --seeds 8")
+def compare(
+    worlds: Worlds,
+    variants: Variants = ["module", "best-of-2", "random"],  # noqa: B006 - typer's form of a default
+    seeds: Seeds = 5,
+    engine: Annotated[Engine, typer.Option(help="Virtual time, or real copies.")] = Engine.MODEL,
+    jobs: Jobs = 4,
+    db: Results = Path("build/experiments/compare.sqlite"),
+    as_json: AsJson = False,
+) -> None:
+    """Play worlds by several variants, and compare them seed by seed."""
+    grid = Grid(_texts(worlds), tuple(range(1, seeds + 1)), _variants(variants), engine.value)
+    results = _play(grid, db, jobs if engine is Engine.MODEL else 1)
+    given = compared(results)
+    if as_json:
+        print(json.dumps([asdict(each) for each in given]))
+    else:
+        tables.rows(Console(highlight=False), given)
+    raise typer.Exit(1 if any(each.broken for each in given) else 0)
+
+
+@app.command(epilog="Example: plumtrestle sweep calm -v module -v random --low 1 --high 8")
+def sweep(
+    worlds: Worlds,
+    variants: Variants = ["module"],  # noqa: B006 - typer's form of a default
+    seeds: Seeds = 2,
+    low: Annotated[float, typer.Option(min=0.01, help="The lowest rate, times the world's.")] = 0.5,
+    high: Annotated[float, typer.Option(min=0.01, help="And the highest.")] = 4.0,
+    steps: Annotated[int, typer.Option(min=2, max=64, help="Rates between them, in even ratios.")] = 8,
+    least: Annotated[float, typer.Option(min=0.0, max=1.0, help="What has to be served.")] = 0.98,
+    jobs: Jobs = 4,
+    db: Results = Path("build/experiments/sweep.sqlite"),
+    as_json: AsJson = False,
+) -> None:
+    """Raise the rate until less is served than wanted: the knee."""
+    rates = tuple(round(low * (high / low) ** (step / (steps - 1)), 4) for step in range(steps))
+    grid = Grid(_texts(worlds), tuple(range(1, seeds + 1)), _variants(variants), "model", rates)
+    results = _play(grid, db, jobs)
+    found = knee(results, least)
+    if as_json:
+        told = [{"world": world, "variant": name, "knee": rate} for (world, name), rate in found.items()]
+        print(json.dumps(told))
+        return
+    console = Console(highlight=False)
+    for (world, name), rate in found.items():
+        upto = "not at the lowest rate" if rate is None else f"up to {rate:g} times the world's rate"
+        console.print(f"{world}, {name}: at least {least:g} is served {upto}")
+
+
+@app.command(epilog="Example: plumtrestle report build/experiments/compare.sqlite --out report.html")
+def report(
+    db: Annotated[Path, typer.Argument(help="The SQLite file of an experiment.")],
+    out: Annotated[Path, typer.Option(help="The page to write.")] = Path("build/report.html"),
+    title: Annotated[str, typer.Option(help="Its heading.")] = "plumtrestle",
+) -> None:
+    """Write one self-contained HTML page of an experiment's results."""
+    if not db.exists():
+        raise StoreError(f"{db}: no such file")
+    results = _stored(db)
+    if not results:
+        raise StoreError(f"{db}: holds no results")
+    out.parent.mkdir(parents=True, exist_ok=True)
+    out.write_text(page(results, title))
+    print(out)
+
+
+def _texts(names: list[str]) -> tuple[tuple[str, str], ...]:
+    """Names and texts of worlds, each checked."""
+    return tuple((read(name).name, text_of(name)) for name in names)
+
+
+def _variants(words: list[str]) -> tuple[Variant, ...]:
+    return tuple(variant(word) for word in dict.fromkeys(words))
+
+
+def _play(grid: Grid, db: Path, jobs: int) -> list[tuple[Key, dict[str, Any]]]:
+    """Play what is missing under a progress bar; give the results that were asked for."""
+    store = Store(db)
+    try:
+        with Progress(console=Console(stderr=True), transient=True) as progress:
+            bar = progress.add_task("days", total=None)
+
+            def tell(done: int, everything: int) -> None:
+                progress.update(bar, completed=done, total=everything)
+
+            failed = asyncio.run(play_grid(grid, store, jobs, tell))
+        for key, why in failed:
+            print(f"plumtrestle: {key.world}, seed {key.seed}, {key.variant}: {why}", file=sys.stderr)
+        if failed:
+            raise PlayError(f"{len(failed)} days could not be played; run it again for what is left")
+        names = {name for name, _ in grid.worlds}
+        wanted = {each.name for each in grid.variants}
+        return [
+            (key, result)
+            for key, result in store.results()
+            if key.world in names
+            and key.variant in wanted
+            and key.seed in grid.seeds
+            and key.rate in grid.rates
+            and key.engine == grid.engine
+        ]
+    finally:
+        store.close()
+
+
+def _stored(db: Path) -> list[tuple[Key, dict[str, Any]]]:
+    store = Store(db)
+    try:
+        return store.results()
+    finally:
+        store.close()
+
+
 @app.command()
 def worlds() -> None:
     """List the worlds that come with the package."""
--- a/plumtrestle/emulator/copies.py
+++ b/plumtrestle/emulator/copies.py
@@ -151,6 +151,7 @@
         self._clock, self._writer, self._rng = clock, writer, rng
         self._ready_within_s = ready_within_s
         self._held: socket.socket | None = None
+        self._door: tuple[str, int] | None = None  # of operators, at the latest process
         self._ahead_s = 0.0  # its clock before the true one
         self._watches: set[asyncio.Task[None]] = set()
         self._paused = 0
@@ -225,7 +226,7 @@
             descriptors,
             ordinary,
         )
-        self.process = process
+        self.process, self._door = process, door
         self.tell("started", life)
         watch = asyncio.create_task(self._watch(process, life))
         self._watches.add(watch)
@@ -268,6 +269,25 @@
             lines = []
         return " | ".join(lines[-_LAST_LINES:]) or "it wrote nothing"
 
+    async def figures(self) -> None:
+        """Ask it for its figures, where it has a door for operators."""
+        process, life, door = self.process, self.life, self._door
+        if door is None or process is None or process.ended.is_set() or self._paused:
+            return
+        told = await _asked(door, "/api/telemetry")
+        if told is not None:
+            given = json.loads(told)
+            self._writer.write(
+                log.Figures(
+                    at=self._clock.now(),
+                    copy=self.copy.number,
+                    life=life,
+                    pending=int(given["pending"]),
+                    members=int(given["members"]),
+                    unavailable=int(given["members_unavailable"]),
+                )
+            )
+
     # What troubles do
 
     async def kill(self) -> bool:
@@ -369,14 +389,20 @@
         return int(own.getsockname()[1])
 
 
-async def _says_yes(address: tuple[str, int], path: str) -> bool:
+async def _asked(address: tuple[str, int], path: str) -> bytes | None:
+    """The body of a 200 answer; None where there is no such answer."""
     try:
         async with asyncio.timeout(1.0):
             reader, writer = await asyncio.open_connection(*address)
             try:
                 writer.write(f"GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".encode())
-                return (await reader.readline()).startswith(b"HTTP/1.1 200")
+                head, _, body = (await reader.read()).partition(b"\r\n\r\n")
+                return body if head.startswith(b"HTTP/1.1 200") else None
             finally:
                 writer.close()
     except (OSError, TimeoutError):
-        return False
+        return None
+
+
+async def _says_yes(address: tuple[str, int], path: str) -> bool:
+    return await _asked(address, path) is not None
--- a/plumtrestle/emulator/play.py
+++ b/plumtrestle/emulator/play.py
@@ -34,6 +34,7 @@
 _ANSWER_WITHIN_S = 60.0  # for a process of the ground
 _MOST_COPIES, _MOST_LINKS = 64, 20_000
 _SPARE_DESCRIPTORS = 256
+_FIGURES_EVERY_S = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -231,7 +232,8 @@
             gate.plan()
         self._failed = asyncio.get_running_loop().create_future()
         watch = asyncio.create_task(watch_lateness(self._clock, "discovery", self._writer))
-        self._tasks = [watch, *(asyncio.create_task(self._trouble(each)) for each in self._day.troubles)]
+        self._tasks = [watch, asyncio.create_task(self._ask_figures())]
+        self._tasks += [*(asyncio.create_task(self._trouble(each)) for each in self._day.troubles)]
         for task in self._tasks:
             task.add_done_callback(self._complain)
         longest_s = max(each.deadline_us for each in self._day.classes) / 1e6
@@ -246,6 +248,11 @@
         await asyncio.sleep(self._clock.wait_s(self._day.length_us))
         self._writer.write(log.Finished(at=max(self._clock.now(), self._day.length_us)))
 
+    async def _ask_figures(self) -> None:
+        while self._day.sidecars.operated:
+            await asyncio.gather(*(each.figures() for each in self._copies))
+            await asyncio.sleep(_FIGURES_EVERY_S)
+
     def _complain(self, task: asyncio.Task[Any]) -> None:
         fault = None if task.cancelled() else task.exception()
         if fault is not None and self._failed is not None and not self._failed.done():
--- /dev/null
+++ b/plumtrestle/experiment/cell.py
@@ -0,0 +1,89 @@
+"""One cell of an experiment, in a process of its own: `python -m plumtrestle.experiment.cell`.
+
+Its input is a `Cell` as JSON; its output what the day came to.  A process of its own since variants differ in
+what is imported, and in constants.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from msgspec.structs import replace
+
+import magpiemux.balancer as module
+from plumtrestle import events as log
+from plumtrestle.emulator.play import Ground
+from plumtrestle.emulator.play import play as play_real
+from plumtrestle.experiment.variants import PARTS
+from plumtrestle.model.play import play as play_model
+from plumtrestle.report import tables
+from plumtrestle.rules import account, judge, series
+from plumtrestle.rules.history import gather
+from plumtrestle.world import Day, draw
+from plumtrestle.world.read import parse
+
+
+class Cell(msgspec.Struct, frozen=True):
+    """A day of a world, by one variant."""
+
+    source: str  # the world's name
+    world: str  # its text
+    seed: int
+    variant: str
+    engine: str
+    root: str  # the tree of the program, where real copies are played
+    policy: str = "module"
+    off: str | None = None
+    changed: tuple[str, str] | None = None
+    rate: float = 1.0  # times the world's
+
+
+def switch_off(part: str) -> None:
+    """Take a part of the module away; raise AttributeError if the module has no such part any more."""
+    for name, value in PARTS[part].items():
+        getattr(module, name)
+        setattr(module, name, value)
+
+
+def drawn(cell: Cell) -> Day:
+    """The day, the same for every variant of a pair."""
+    day = draw(parse(cell.world, cell.source), cell.seed)
+    day = replace(day, clients=replace(day.clients, rate_per_s=day.clients.rate_per_s * cell.rate))
+    return replace(day, changed=cell.changed) if cell.changed is not None else day
+
+
+def played(cell: Cell) -> list[log.Event]:
+    """The log of a cell."""
+    day = drawn(cell)
+    if cell.engine == "emulator":
+        with tempfile.TemporaryDirectory(prefix="plumtrestle-") as folder:
+            ground = Ground(Path(folder) / "day", Path(cell.root), variant=cell.variant)
+            return log.load(asyncio.run(play_real(day, ground)))
+    events: list[log.Event] = []
+    play_model(day, cell.policy, events.append, cell.variant)
+    return events
+
+
+def result(cell: Cell) -> dict[str, Any]:
+    """What a cell came to: the judge's word, the account and the day over time."""
+    if cell.off is not None:
+        switch_off(cell.off)
+    history = gather(played(cell))
+    told = tables.plain(history, judge(history), account(history))
+    told["breaches"] = told["breaches"][:20]
+    return {**told, "series": msgspec.to_builtins(series(history))}
+
+
+def main() -> None:
+    cell = msgspec.json.decode(sys.stdin.buffer.read(), type=Cell)
+    print(json.dumps(result(cell)))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/plumtrestle/experiment/variants.py
@@ -0,0 +1,96 @@
+"""What is compared: this tree, an earlier commit, a part switched off, other settings, a baseline."""
+
+from __future__ import annotations
+
+import hashlib
+import subprocess
+from dataclasses import dataclass
+from pathlib import Path
+
+from plumtrestle.emulator.copies import PlayError
+from plumtrestle.model.policies import POLICIES
+
+NEVER = 1e9
+# Each part of the module with the constants that take it away.
+PARTS: dict[str, dict[str, float]] = {
+    "reach": {"REACH": NEVER},
+    "ejection": {"STRIKES": NEVER},
+    "window": {"FREE": NEVER},
+    "cold-budget": {"COLD_SHARE": NEVER, "COLD_BURST": NEVER},
+    "retries": {"EXTRA_PER_REQUEST": 0.0, "EXTRA_SAVED": 0.0},
+    "ghosts": {"GHOST_LIFE": 0.0},
+    "pace": {"PACE_STEP": 0.0},
+    "own-zone": {"REMOTE_LEAST": 1.0},
+}
+HELP = (
+    f"`module` (this tree), a baseline ({', '.join(name for name in POLICIES if name != 'module')}),"
+    f" `commit:REV`, `off:PART` ({', '.join(PARTS)}) or `set:KEY=VALUE` of the settings, as in"
+    " `set:bounds.mayCancel=false`."
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Variant:
+    """One of what is compared."""
+
+    name: str
+    policy: str = "module"
+    off: str | None = None
+    changed: tuple[str, str] | None = None  # a key of the settings and its value, as JSON
+    commit: str | None = None
+
+    @property
+    def is_real(self) -> bool:
+        """Whether it can be played by real copies."""
+        return self.policy == "module" and self.off is None
+
+
+def variant(word: str) -> Variant:
+    """Read a variant; raise PlayError if there is none like it."""
+    kind, _, rest = word.partition(":")
+    if word in POLICIES:
+        return Variant(word, policy=word)
+    if kind == "off" and rest in PARTS:
+        return Variant(word, off=rest)
+    if kind == "set" and "." in rest.partition("=")[0] and rest.partition("=")[2]:
+        key, _, value = rest.partition("=")
+        return Variant(word, changed=(key, value))
+    if kind == "commit" and rest:
+        return Variant(word, commit=rest)
+    raise PlayError(f"{word}: no such variant: give {HELP}".replace("`", ""))
+
+
+def checked_out(root: Path, commit: str) -> Path:
+    """A worktree of an earlier commit below build/worktrees; raise PlayError if git has none."""
+    named = subprocess.run(
+        ["git", "rev-parse", "--verify", f"{commit}^{{commit}}"],
+        cwd=root,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    if named.returncode:
+        raise PlayError(f"commit:{commit}: git knows no such commit")
+    name = named.stdout.strip()
+    folder = root / "build" / "worktrees" / name[:12]
+    if not folder.exists():
+        folder.parent.mkdir(parents=True, exist_ok=True)
+        made = subprocess.run(
+            ["git", "worktree", "add", "--detach", str(folder), name],
+            cwd=root,
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        if made.returncode:
+            raise PlayError(f"commit:{commit}: {made.stderr.strip()}")
+    return folder
+
+
+def digest(root: Path) -> str:
+    """One name for everything that decides how a day is played: the module, the sidecar and the ground."""
+    whole = hashlib.sha256()
+    for name in ("magpiemux", "micadeck", "plumtrestle"):
+        for each in sorted((root / name).rglob("*.py")):
+            whole.update(str(each.relative_to(root)).encode() + b"\0" + each.read_bytes())
+    return whole.hexdigest()[:16]
--- a/plumtrestle/model/play.py
+++ b/plumtrestle/model/play.py
@@ -29,6 +29,7 @@
 _KILLED_AFTER_US = 700_000
 _LONGEST_US = 3_000_000
 _GRACE_US = 600_000
+_FIGURES_EVERY_US = 500_000
 _BEFORE = -(1 << 50)
 
 
@@ -87,6 +88,25 @@
         self._accepts = True
         self._say("ready", life)
 
+    def figures(self) -> None:
+        """Say what the decisions avoid, where they know."""
+        process = self._process
+        if process is None or process.is_over:
+            return
+        counted = process.members()
+        if counted is not None:
+            at, (members, unavailable) = self.queue.now, counted
+            self._model.sink(
+                log.Figures(
+                    at=at,
+                    copy=self.number,
+                    life=self._lives,
+                    pending=process.owed,
+                    members=members,
+                    unavailable=unavailable,
+                )
+            )
+
     def _take(self, number: int, event: RequestArrived, work: int) -> bool:
         if not self._accepts or self._process is None:
             return False
@@ -188,12 +208,19 @@
             self.queue.at(at, self.servers[server].live, what)
         for trouble in self.day.troubles:
             self._plan(trouble)
+        self._figures()
         coming = iter(arrivals(self.day))
         self._next(coming)
         longest = max(each.deadline_us for each in self.day.classes)
         self.queue.run(self.day.length_us + longest + 2 * _GRACE_US)
         self.sink(log.Finished(at=self.queue.now))
 
+    def _figures(self) -> None:
+        for copy in self._copies:
+            copy.figures()
+        if self.queue.now < self.day.length_us:
+            self.queue.after(_FIGURES_EVERY_US, self._figures)
+
     def held(self, server: str) -> int:
         """What a server holds now."""
         return self.servers[int(server[2:])].held
--- a/plumtrestle/model/sidecar.py
+++ b/plumtrestle/model/sidecar.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from magpiemux import Balancer
 from magpiemux.interface import (
     AnswerStarted,
     AttemptEnded,
@@ -131,6 +132,10 @@
                 self._closed(server, epoch)
         return [number for number, held in self._held.items() if not held.answered]
 
+    def members(self) -> tuple[int, int] | None:
+        """Servers listed, and how many of them are avoided; None where the decisions don't say."""
+        return self._policy.members() if isinstance(self._policy, Balancer) else None
+
     def _when_running(self, act: Callable[[], None]) -> None:
         if self.is_over:
             return
--- a/plumtrestle/report/tables.py
+++ b/plumtrestle/report/tables.py
@@ -8,6 +8,7 @@
 from rich.markup import escape
 from rich.table import Table
 
+from plumtrestle.experiment.compare import Row
 from plumtrestle.rules import Account, Verdict
 from plumtrestle.rules.history import History
 from plumtrestle.world.day import US
@@ -98,6 +99,24 @@
     return table
 
 
+def rows(console: Console, given: list[Row]) -> None:
+    """What was compared, world by world."""
+    for world in dict.fromkeys(each.world for each in given):
+        own = [each for each in given if each.world == world]
+        heads = "days", "broken", "served", "worth", "refused", "attempts", "p99, ms"
+        table = Table(world, *heads, f"worth against {own[0].variant}, 95%", box=None, pad_edge=False)
+        for each in own:
+            ahead = ""
+            if each.ahead is not None and each.low is not None and each.high is not None:
+                colour = "green" if each.low > 0 else "red" if each.high < 0 else "default"
+                ahead = f"[{colour}]{each.ahead:+.4f} ({each.low:+.4f} to {each.high:+.4f})[/]"
+            figures = f"{each.served:.4f}", f"{each.worth:.4f}", f"{each.refused:.4f}", f"{each.attempts:.3f}"
+            broken = f"[red]{each.broken}[/]" if each.broken else "0"
+            name = escape(each.variant)
+            table.add_row(name, str(each.days), broken, *figures, f"{each.p99_ms:.1f}", ahead)
+        console.print(table)
+
+
 def _say_verdict(console: Console, verdict: Verdict) -> None:
     console.print(f"rules: [bold {_COLOURS.get(verdict.word, 'yellow')}]{verdict.word}[/]")
     for breach in verdict.breaches[:_MOST_BREACHES]:
--- a/plumtrestle/rules/history.py
+++ b/plumtrestle/rules/history.py
@@ -18,6 +18,7 @@
 
     arrived: log.Arrived
     how: str | None = None  # None: the log does not tell
+    ended_at: int | None = None
 
 
 @dataclass(slots=True)
@@ -85,7 +86,7 @@
     def __init__(self, began: log.Began) -> None:
         self._requests: defaultdict[int, Request] = defaultdict(Request)
         self._attempts: dict[int, Attempt] = {}
-        self._ends: dict[int, str] = {}
+        self._ends: dict[int, log.Ended] = {}
         self._paused: dict[int, int] = {}
         self._out = History(
             day=began.day,
@@ -114,9 +115,10 @@
             self._one(event)
         for copy, since in self._paused.items():
             out.pauses[copy].append((since, out.last_at))
-        for attempt, how in self._ends.items():
-            if attempt in self._attempts:
-                self._attempts[attempt].how = how
+        for number, ended in self._ends.items():
+            attempt = self._attempts.get(number)
+            if attempt is not None:
+                attempt.how, attempt.ended_at = ended.how, ended.at
         for request in self._requests.values():
             request.attempts.sort(key=lambda each: (each.arrived.sent, each.arrived.attempt))
         return out
@@ -137,7 +139,7 @@
                 attempt = self._attempts[event.attempt] = Attempt(event)
                 self._requests[event.request].attempts.append(attempt)
             case log.Ended():
-                self._ends.setdefault(event.attempt, event.how)
+                self._ends.setdefault(event.attempt, event)
             case log.Answered():
                 request = self._requests[event.request]
                 request.answers += 1
--- /dev/null
+++ b/plumtrestle/rules/series.py
@@ -0,0 +1,114 @@
+"""A day over time: what was asked for and came of it, what servers held, and whom the copies avoided."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import msgspec
+import numpy as np
+
+from plumtrestle.events import Event
+from plumtrestle.rules.history import History, gather
+
+_MOST_BINS = 240
+_LEAST_BIN_US = 100_000
+_REFUSED = (429, 503)
+
+
+class Series(msgspec.Struct, frozen=True):
+    """Values by time; `bin_us` is the span of each.  Rates are a second, the rest are means over the span."""
+
+    bin_us: int
+    asked: list[float]  # first tries a second, by when they were meant to leave
+    served: list[float]  # of these
+    refused: list[float]
+    failed: list[float]
+    warm: list[float]  # requests in flight at servers that are warm
+    cold: list[float]  # and at cold ones
+    unavailable: list[float]  # servers that a copy avoids, on average over copies that say so
+    members: dict[str, list[float]]  # servers listed, as each copy has it
+    troubles: list[tuple[str, float, float]]  # kind, begin and end in seconds
+
+
+def series(events: Iterable[Event] | History) -> Series:
+    """A day cut into at most 240 spans; raise LogError where the log is none of a day."""
+    history = events if isinstance(events, History) else gather(events)
+    length = history.day.length_us
+    bin_us = max(-(-length // _MOST_BINS), _LEAST_BIN_US)
+    count = max(-(-length // bin_us), 1)
+    outcomes = _outcomes(history, bin_us, count)
+    warm, cold = _in_flight(history, bin_us, count)
+    unavailable, members = _figures(history, bin_us, count)
+    per_s = 1e6 / bin_us
+    return Series(
+        bin_us=bin_us,
+        asked=_plain(sum(outcomes.values(), np.zeros(count)) * per_s),
+        served=_plain(outcomes["served"] * per_s),
+        refused=_plain(outcomes["refused"] * per_s),
+        failed=_plain(outcomes["failed"] * per_s),
+        warm=_plain(warm),
+        cold=_plain(cold),
+        unavailable=_plain(unavailable),
+        members=members,
+        troubles=[(each.kind, each.at_us / 1e6, each.until_us / 1e6) for each in history.day.troubles],
+    )
+
+
+def _plain(values: np.ndarray) -> list[float]:
+    return [round(float(each), 3) for each in values]
+
+
+def _outcomes(history: History, bin_us: int, count: int) -> dict[str, np.ndarray]:
+    out = {name: np.zeros(count) for name in ("served", "refused", "failed")}
+    for first, numbers in history.first_tries.items():
+        answers = [history.requests[each].answered for each in numbers]
+        statuses = [each.status for each in answers if each is not None]
+        taken = next((history.requests[each].taken for each in numbers if history.requests[each].taken), None)
+        meant = taken.meant if taken is not None else history.unreached[first].meant
+        how = "served" if 200 in statuses else "failed"
+        if how == "failed" and statuses and statuses[-1] in _REFUSED:
+            how = "refused"
+        out[how][min(max(meant // bin_us, 0), count - 1)] += 1
+    return out
+
+
+def _in_flight(history: History, bin_us: int, count: int) -> tuple[np.ndarray, np.ndarray]:
+    """Mean numbers of attempts at warm and at cold servers, by what the server was as each came."""
+    warm, cold = np.zeros(count), np.zeros(count)
+    for request in history.requests.values():
+        for each in request.attempts:
+            server, at = each.arrived.server, each.arrived.at
+            cold_us = history.day.servers[server].cold_us
+            is_cold = any(start <= at < start + cold_us for start in history.starts.get(server, ()))
+            _spread(cold if is_cold else warm, at, each.ended_at or at, bin_us)
+    return warm / bin_us, cold / bin_us
+
+
+def _spread(into: np.ndarray, begin: int, end: int, bin_us: int) -> None:
+    """Add the microseconds of a span to the bins that it lies in."""
+    at = max(begin, 0)
+    while at < end:
+        place = at // bin_us
+        if place >= len(into):
+            return
+        until = min((place + 1) * bin_us, end)
+        into[place] += until - at
+        at = until
+
+
+def _figures(history: History, bin_us: int, count: int) -> tuple[np.ndarray, dict[str, list[float]]]:
+    """What copies said of themselves last, at the end of each span."""
+    last: dict[int, tuple[int, int]] = {}
+    unavailable = np.zeros(count)
+    members: dict[str, list[float]] = {}
+    told = iter([*sorted(history.figures, key=lambda each: each.at)])
+    coming = next(told, None)
+    for place in range(count):
+        while coming is not None and coming.at < (place + 1) * bin_us:
+            last[coming.copy] = coming.unavailable, coming.members
+            coming = next(told, None)
+        if last:
+            unavailable[place] = sum(away for away, _ in last.values()) / len(last)
+        for copy, (_, listed) in last.items():
+            members.setdefault(f"copy {copy}", [0.0] * place).append(float(listed))
+    return unavailable, members
--- a/plumtrestle/world/__init__.py
+++ b/plumtrestle/world/__init__.py
@@ -3,6 +3,6 @@
 from plumtrestle.world.arrivals import Arrival, arrivals
 from plumtrestle.world.day import Day
 from plumtrestle.world.draw import draw
-from plumtrestle.world.read import WorldError, read, shipped, shipped_worlds
+from plumtrestle.world.read import WorldError, read, shipped, shipped_worlds, text_of
 
-__all__ = ["Arrival", "Day", "WorldError", "arrivals", "draw", "read", "shipped", "shipped_worlds"]
+__all__ = ["Arrival", "Day", "WorldError", "arrivals", "draw", "read", "shipped", "shipped_worlds", "text_of"]
--- a/plumtrestle/world/day.py
+++ b/plumtrestle/world/day.py
@@ -131,6 +131,7 @@
     network: Network
     clients: Clients
     troubles: tuple[Trouble, ...]
+    changed: tuple[str, str] | None = None  # a key of the settings (a.b) and its value as JSON, for a variant
 
     def zone_of(self, party: str) -> str:
         """The zone that a party stands in; discovery stands in none."""
--- a/plumtrestle/world/read.py
+++ b/plumtrestle/world/read.py
@@ -31,23 +31,31 @@
 
 def shipped(name: str) -> World:
     """A world that comes with the package; raise WorldError if there is none of this name."""
+    return parse(_shipped_text(name), name)
+
+
+def _shipped_text(name: str) -> str:
     if name not in shipped_worlds():
         raise WorldError(
             name, [f"no such file, and no shipped world: choose from {', '.join(shipped_worlds())}"]
         )
-    return parse((_SHIPPED / f"{name}.toml").read_text(), name)
+    return (_SHIPPED / f"{name}.toml").read_text()
 
 
 def read(path: str) -> World:
     """A world from a file, or a shipped one by its name; raise WorldError with every fault."""
+    return parse(text_of(path), path)
+
+
+def text_of(path: str) -> str:
+    """The text of a world file, or of a shipped one by its name; raise WorldError if there is none."""
     file = Path(path)
     if not file.exists() and file.suffix != ".toml":
-        return shipped(path)
+        return _shipped_text(path)
     try:
-        text = file.read_text()
+        return file.read_text()
     except (OSError, UnicodeDecodeError) as fault:
         raise WorldError(path, [f"can't be read: {fault}"]) from None
-    return parse(text, path)
 
 
 def parse(text: str, source: str) -> World:
--- a/plumtrestle/world/settings.py
+++ b/plumtrestle/world/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from typing import Any
 
 from plumtrestle.world.day import Day
@@ -14,6 +15,18 @@
 
 def settings(day: Day, copy: int) -> dict[str, Any]:
     """The settings of one copy, in the wire's words; they hold nothing that a platform would not tell."""
+    told = _plain(day, copy)
+    if day.changed is not None:
+        key, value = day.changed
+        *path, last = key.split(".")
+        inner = told
+        for name in path:
+            inner = inner[name]
+        inner[last] = json.loads(value)
+    return told
+
+
+def _plain(day: Day, copy: int) -> dict[str, Any]:
     cold = max(day.servers, key=lambda each: each.cold_us)
     return {
         "lanes": [
