Keep the sums that zones are weighed by, so that no request walks the whole list

Found on the proving ground: in the model a request cost five times as much at 1,000 servers as at 10. A profile named `_weigh_zones`: it summed the paces of all ready servers for each request. Garbage collection and the draw were ruled out (docs/postmortems.md). The sums are kept now and follow each answer; a list, an ejection or a return has them summed anew, so they can't drift far. Way not taken: weighing zones only every so often; it decides otherwise.

--- /dev/null
+++ b/bench/ground.py
@@ -0,0 +1,135 @@
+"""`python -m bench.ground`: what the proving ground itself bears.
+
+The emulator's rate, with a bare relay and with the program in the sidecars' place; the model's pace for 200
+copies over 200 servers, on one core and on eight; its cost a request from 10 to 1,000 copies, with a plot.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+from msgspec.structs import replace
+
+from plumtrestle import events as log
+from plumtrestle.emulator.play import Ground, play
+from plumtrestle.model.play import play as play_model
+from plumtrestle.report import plots
+from plumtrestle.rules import account, judge
+from plumtrestle.rules.history import gather
+from plumtrestle.world import Day, draw, read
+from plumtrestle.world.read import parse
+
+ROOT = Path(__file__).resolve().parent.parent
+PLOT = ROOT / "docs" / "model-growth.svg"
+SIZES = (10, 30, 100, 300, 1_000)
+SEEDS = 8
+RATE = """
+name = "rate"
+seconds = 10
+[[classes]]
+name = "look"
+deadline_ms = 1000
+aim_ms = 500
+work_ms = 1
+[[servers]]
+count = 24
+slots = 16
+queue = 200
+[sidecars]
+count = 8
+[clients]
+rate_per_s = {rate}
+connections = 64
+work = "fixed"
+"""
+
+
+def emulator(command: str | None, rate: int, processes: int) -> str:
+    """One day at a rate; what came of it, and whether the ground itself was late."""
+    day = draw(parse(RATE.format(rate=rate), "rate"), 1)
+    with tempfile.TemporaryDirectory() as folder:
+        ground = Ground(Path(folder) / "day", ROOT, command, shards=processes, workers=processes)
+        history = gather(log.load(asyncio.run(play(day, ground))))
+    verdict, told = judge(history), account(history)
+    worst_ms = max((each.by for each in history.late), default=0) / 1e3
+    latency = ", ".join(f"{name} {value:.1f}" for name, value in told.latency_ms.items())
+    return (
+        f"{rate} a second: {verdict.word}, served {told.served:.4f}, ms {latency};"
+        f" the ground late by {worst_ms:.0f} ms at most"
+    )
+
+
+def fleet(seed: int) -> subprocess.Popen[bytes]:
+    """A process that plays `fleet`, by the compiled module where there is one."""
+    path = os.pathsep.join((str(ROOT / "build" / "native"), str(ROOT)))
+    command = [sys.executable, "-P", "-m", "plumtrestle", "model", "fleet", "--seed", str(seed), "--json"]
+    environment = {**os.environ, "PYTHONPATH": path}
+    return subprocess.Popen(command, cwd=ROOT, env=environment, stdout=subprocess.DEVNULL)
+
+
+def seconds_of(seeds: Iterator[int] | range) -> float:
+    began = time.monotonic()
+    for process in [fleet(seed) for seed in seeds]:
+        process.wait()
+    return time.monotonic() - began
+
+
+def sized(count: int) -> Day:
+    """The fleet without troubles, at so many copies and servers, 30 requests a second each, for 10 s."""
+    day = draw(read("fleet"), 1)
+    pattern = day.servers
+    return replace(
+        day,
+        length_us=10_000_000,
+        troubles=(),
+        servers=tuple(replace(pattern[each % len(pattern)], number=each) for each in range(count)),
+        copies=tuple(
+            replace(day.copies[each % len(day.copies)], number=each, share=1 / count) for each in range(count)
+        ),
+        clients=replace(day.clients, rate_per_s=30.0 * count),
+    )
+
+
+def cost_us(count: int) -> float:
+    """Processor time a request, without what the copies' start costs."""
+    spent = []
+    for day in (replace(sized(count), length_us=1_000_000), sized(count)):
+        asked = 0
+
+        def sink(event: log.Event) -> None:
+            nonlocal asked
+            asked += isinstance(event, log.Taken)
+
+        began = time.process_time()
+        play_model(day, "module", sink)
+        spent.append((time.process_time() - began, asked))
+    (short_s, few), (long_s, many) = spent
+    return (long_s - short_s) / (many - few) * 1e6
+
+
+def main() -> None:
+    relay = f"exec {sys.executable} -m bench.relay"
+    print("relay, 8 copies, 24 servers,", emulator(relay, 10_000, 4), flush=True)
+    print("program, the same,", emulator(None, 4_000, 3), flush=True)
+    one_s = seconds_of(range(1, 2))
+    all_s = seconds_of(range(1, SEEDS + 1))
+    print(f"model, fleet: {one_s:.0f} s on one core, {SEEDS} seeds at once {all_s:.0f} s", end="")
+    print(f", {SEEDS * one_s / all_s:.1f} times the throughput", flush=True)
+    points = [(float(count), cost_us(count)) for count in SIZES]
+    for count, cost in points:
+        print(f"model, {count:.0f} copies and servers: {cost:.0f} us a request", flush=True)
+    drawn = plots.lines(
+        {"module": points}, "copies, and servers", "processor time a request, us", is_log=True
+    )
+    PLOT.write_text(drawn)
+
+
+if __name__ == "__main__":
+    main()
--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -282,6 +282,8 @@
         self._actions: list[Action] = []
         self._servers: dict[str, Server] = {}  # every server ever listed
         self._ready: list[Server] = []
+        # Of the own zone's servers (True) and of others: their paces' sum, and how many; None: to be summed.
+        self._zones: dict[bool, list[float]] | None = None
         self._returning: dict[Server, int] = {}  # included again and not used since: when each gets a request
         self._requests: dict[int, Request] = {}
         # Of each entry: due, order, request (or _ASK), attempt (or _WHOLE).
@@ -416,6 +418,7 @@
         """See anew which servers there are to draw from."""
         self._ready = [each for each in self._servers.values() if each.is_wanted]
         self._ready.sort(key=lambda each: each.place)
+        self._zones = None
         far = sum(each.zone != self._settings.zone for each in self._ready)
         self._far_part = far / max(len(self._ready), 1)
         mean_size = sum(each.nominal for each in self._ready) / max(len(self._ready), 1)
@@ -838,17 +841,14 @@
     def _weigh_zones(self) -> float:
         if self._settings.prices.cross_zone <= 0.0 or self._late >= LATE_ALLOWED or self._fill() > FREE:
             return 1.0  # room anywhere is worth more than a crossing
-        near = far = 0.0
-        near_count = far_count = 0
-        for each in self._ready:
-            if each.ejected_until is not None:
-                continue
-            if each.zone == self._settings.zone:
-                near += each.pace
-                near_count += 1
-            else:
-                far += each.pace
-                far_count += 1
+        if self._zones is None:
+            self._zones = {True: [0.0, 0.0], False: [0.0, 0.0]}
+            for each in self._ready:
+                if each.ejected_until is None:
+                    own = self._zones[each.zone == self._settings.zone]
+                    own[0] += each.pace
+                    own[1] += 1.0
+        (near, near_count), (far, far_count) = self._zones[True], self._zones[False]
         if not near_count or not far_count or far <= 0.0:
             return 1.0
         behind = (near / near_count) / (far / far_count) - 1.0
@@ -1030,7 +1030,10 @@
 
     def _pace(self, server: Server, request: Request, elapsed_us: int) -> None:
         ratio = min(elapsed_us / max(self._usual(request), 1.0), PACE_CLIP)
-        server.pace += PACE_STEP * self._stretch() * (ratio - server.pace)
+        step = PACE_STEP * self._stretch() * (ratio - server.pace)
+        server.pace += step
+        if self._zones is not None and server.is_wanted and server.ejected_until is None:
+            self._zones[server.zone == self._settings.zone][0] += step
 
     def _time(self, server: Server, request: Request, elapsed_us: int) -> None:
         kind = (request.kind.name, request.size)
@@ -1169,6 +1172,7 @@
             if len(self._ejected) + 1 > most * known:
                 return
             self._ejected.append(server)
+            self._zones = None
             self._stuck += server.in_flight
             self._actions.append(Log(f"ejected {server.name}: {reason}"))
         aims = min(EJECT_AIMS * 2**server.ejections, EJECT_AIMS_MOST)
@@ -1182,6 +1186,7 @@
     def _let_back(self, server: Server) -> None:
         server.ejected_until = None
         self._ejected.remove(server)
+        self._zones = None
         self._stuck -= server.in_flight
 
     def _readmit(self, server: Server) -> None:
