--- a/plumtrestle/cli.py
+++ b/plumtrestle/cli.py
@@ -33,7 +33,7 @@
 from plumtrestle.model.play import play as play_model
 from plumtrestle.model.policies import POLICIES
 from plumtrestle.report import tables
-from plumtrestle.report.page import page
+from plumtrestle.report.page import of_one_day, page
 from plumtrestle.rules import account, judge
 from plumtrestle.rules.history import History, gather
 from plumtrestle.world import WorldError, draw, read, shipped, shipped_worlds, text_of
@@ -99,7 +99,11 @@
     folder = out or root / "build" / "days" / f"{day.world}-{seed}-{datetime.now(UTC):%Y%m%dT%H%M%S}"
     print(f"plays {day.length_us / 1e6:g} s with {len(day.copies)} copies in {folder}", file=sys.stderr)
     path = asyncio.run(play_real(day, Ground(folder.resolve(), root, shards=shards, workers=workers)))
-    tell(gather(log.load(path)), as_json)
+    history = gather(log.load(path))
+    shown = path.with_name("report.html")
+    shown.write_text(page([of_one_day(history)], f"{day.world}, seed {seed}"))
+    print(f"its report: {shown}", file=sys.stderr)
+    tell(history, as_json)
 
 
 @app.command(epilog="Example: plumtrestle model zone-lost --seed 3 --policy best-of-2")
--- a/plumtrestle/emulator/discovery.py
+++ b/plumtrestle/emulator/discovery.py
@@ -103,10 +103,8 @@
         body = json.dumps(self.listing(call.copy, version, full, changes)).encode()
 
         def delivered() -> None:
-            lines = [(each.server, each.state, each.started) for each in changes]
-            at = self._clock.now()
             self.told[call.copy] = max(version, self.told[call.copy])
-            self._writer.write(log.Told(at=at, copy=call.copy, version=version, full=full, lines=lines))
+            self._told(call.copy, version, full, changes)
 
         self._answered(call, answer(b"200 OK", body), True, delivered)
 
@@ -116,6 +114,19 @@
         self._writer.write(log.Called(at=self._clock.now(), copy=call.copy, well=well))
         call.passage.send(message, delivered)
 
+    def _told(self, copy: int, version: int, full: bool, changes: list[Change]) -> None:
+        """Word reached a copy."""
+        lines = [(each.server, each.state, each.started) for each in changes]
+        at = self._clock.now()
+        self._writer.write(log.Told(at=at, copy=copy, version=version, full=full, lines=lines))
+
+    def known(self, copy: int) -> dict[str, object]:
+        """The list as a copy last had it, told to its next process at the start."""
+        version = self.told[copy]
+        changes = self.catalog.whole(version)
+        self._told(copy, version, True, changes)
+        return self.listing(copy, version, True, changes)
+
     def listing(self, copy: int, version: int, full: bool, changes: list[Change]) -> dict[str, object]:
         """Entries in discovery's form."""
         return {"version": version, "full": full, "servers": [self._line(copy, each) for each in changes]}
--- a/plumtrestle/model/sidecar.py
+++ b/plumtrestle/model/sidecar.py
@@ -111,6 +111,7 @@
         self.is_over = False
         self.owed = 0
         known = place.discovery.catalog.whole(version)
+        place.discovery.told(place.number, version, known, True)
         self._take_list(known, True)
         self._post(place.discovery.event(version, known, ListKind.REMEMBERED))
 
--- a/plumtrestle/report/page.py
+++ b/plumtrestle/report/page.py
@@ -6,12 +6,17 @@
 from typing import Any
 
 from jinja2 import Environment, PackageLoader, select_autoescape
+from msgspec import to_builtins
 
 from plumtrestle.experiment.compare import Row, compared
 from plumtrestle.experiment.store import Key
 from plumtrestle.report import plots
+from plumtrestle.report.tables import plain
+from plumtrestle.rules import account, judge, series
+from plumtrestle.rules.history import History
 
 _MOST_BREACHES = 3
+_ONE_DAY = "one day"  # in a digest's place, where nothing is compared
 
 Results = list[tuple[Key, dict[str, Any]]]
 
@@ -24,6 +29,13 @@
     plots: list[str]
 
 
+def of_one_day(history: History) -> tuple[Key, dict[str, Any]]:
+    """A single day as a result, for a page of its own."""
+    told = plain(history, judge(history), account(history))
+    key = Key(history.day.world, history.day.seed, history.variant, history.engine, 1.0, _ONE_DAY)
+    return key, {**told, "series": to_builtins(series(history))}
+
+
 def page(results: Results, title: str) -> str:
     """The page as text."""
     loader = PackageLoader("plumtrestle.report", ".")
@@ -32,8 +44,8 @@
         _world(name, engine, [each for each in results if (each[0].world, each[0].engine) == (name, engine)])
         for name, engine in dict.fromkeys((key.world, key.engine) for key, _ in results)
     ]
-    digests = sorted({key.digest for key, _ in results})
-    about = f"{len(results)} days; sources and worlds {', '.join(digests[:4])}"
+    digests = sorted({key.digest for key, _ in results} - {_ONE_DAY})
+    about = f"{len(results)} days; sources and worlds {', '.join(digests[:4])}" if digests else "One day."
     return template.render(title=title, about=about, worlds=worlds)
 
 
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -75,6 +75,20 @@
 )
 
 
+def test_what_a_copy_is_told_at_its_start_counts_as_word() -> None:
+    """A server that left is back when a copy that heard of it starts again: it may be used at once."""
+    text = (
+        trouble("drain", 1, 1, who=["server:1"])
+        + trouble("kill", 2.5, 4, who=["copy:0"])
+        + trouble("crash", 3, 1, who=["server:1"])
+    )
+    day = draw(parse(WORLD.replace("rate_per_s = 10", "rate_per_s = 60") + text, "back"), 1)
+    events = modelled(day)
+    assert judge(events).breaches == ()
+    late = [each for each in events if isinstance(each, log.Arrived) and each.at > 7_000_000]
+    assert any(each.server == 1 and each.copy == 0 for each in late)
+
+
 @pytest.mark.parametrize("seed", range(5))
 def test_every_trouble_at_once_keeps_the_rules(seed: int) -> None:
     world = WORLD.replace("count = 2", "count = 2\noperated = true").replace(
