Say once what clients do of their own accord, for both engines

How long a try is waited for, what may be tried again and when stood twice, in the load and in the model, and would have drifted apart. `load/habits.py` says it once.

--- a/plumtrestle/load/client.py
+++ b/plumtrestle/load/client.py
@@ -12,12 +12,9 @@
 
 from plumtrestle import events as log
 from plumtrestle.clock import DayClock
+from plumtrestle.load.habits import MOST_RETRIES, Habits
 from plumtrestle.world import Arrival, Day
 
-MOST_RETRIES = 16  # a request's number is that of its first try times this, and the place of the try
-_REFUSED = (429, 503)
-_MOST_RETRY_AFTER_US = 400_000
-
 
 class Ask:
     """One try: a request of its own to the sidecar."""
@@ -51,7 +48,8 @@
     ) -> None:
         """An answer is waited for until `grace_us` after patience is up, and is then held to be lost."""
         self.day, self.copy, self.clock, self.writer = day, copy, clock, writer
-        self._address, self._grace_us, self._rng = address, grace_us, rng
+        self._address, self._grace_us = address, grace_us
+        self._habits = Habits(day, rng)
         self._idle: list[Connection] = []
         self._all: set[Connection] = set()
         self._connecting = 0
@@ -65,10 +63,7 @@
         """A first try is due, or a retry of it."""
         self.owed += 1
         ask = Ask(arrival, place)
-        kind = self.day.classes[arrival.service_class]
-        now = self.clock.now()
-        left_us = arrival.at_us + kind.deadline_us - now
-        ask.due = now + min(round(kind.deadline_us * self.day.clients.patience), max(left_us, 1_000))
+        ask.due = self._habits.due(arrival, self.clock.now())
         self._go(ask)
 
     def _go(self, ask: Ask) -> None:
@@ -172,10 +167,7 @@
             at=self.clock.now(), request=ask.number, status=status, attempt=attempt, timed_out=timed_out
         )
         self.writer.write(event)
-        kind = self.day.classes[ask.arrival.service_class]
-        harmless = status in _REFUSED or kind.repeat == "read_like"
-        harmless = harmless or (kind.repeat == "idempotency_key" and kind.group == "all")
-        self._over(ask, may_retry=status != 200 and harmless, after_us=after_us)
+        self._over(ask, self._habits.may_repeat(ask.arrival, status), after_us)
 
     def broken(self, connection: Connection, ask: Ask | None, was_read: bool) -> None:
         """A connection ended, perhaps under a request."""
@@ -201,15 +193,12 @@
         if ask.timer is not None:
             ask.timer.cancel()
         self.owed -= 1
-        arrival, clients = ask.arrival, self.day.clients
-        kind = self.day.classes[arrival.service_class]
-        if not may_retry or ask.place >= min(clients.retries, MOST_RETRIES - 1):
+        if not may_retry:
             return
-        wait_us = max(clients.backoff_us * self._rng.uniform(0.5, 1.5), min(after_us, _MOST_RETRY_AFTER_US))
-        if self.clock.now() + wait_us >= arrival.at_us + kind.deadline_us:
-            return
-        self.owed += 1
-        asyncio.get_running_loop().call_later(wait_us / 1e6, self._again, arrival, ask.place + 1)
+        wait_us = self._habits.again_after(ask.arrival, ask.place, after_us, self.clock.now())
+        if wait_us is not None:
+            self.owed += 1
+            asyncio.get_running_loop().call_later(wait_us / 1e6, self._again, ask.arrival, ask.place + 1)
 
     def _again(self, arrival: Arrival, place: int) -> None:
         self.owed -= 1
--- a/plumtrestle/model/clients.py
+++ b/plumtrestle/model/clients.py
@@ -9,15 +9,12 @@
 
 from magpiemux.interface import RequestArrived
 from plumtrestle import events as log
-from plumtrestle.load.client import MOST_RETRIES
+from plumtrestle.load.habits import MOST_RETRIES, Habits
 from plumtrestle.model.queue import Queue
 from plumtrestle.model.servers import Sink
 from plumtrestle.world.arrivals import Arrival
 from plumtrestle.world.day import Day
 
-_REFUSED = (429, 503)
-_MOST_RETRY_AFTER_US = 400_000
-
 Take = Callable[[int, RequestArrived, int], bool]  # whether somebody is there to take it
 
 
@@ -27,17 +24,15 @@
     def __init__(
         self, day: Day, copy: int, queue: Queue, sink: Sink, rng: random.Random, take: Take, grace_us: int
     ) -> None:
-        self._day, self._copy, self._queue, self._sink, self._rng = day, copy, queue, sink, rng
+        self._day, self._copy, self._queue, self._sink = day, copy, queue, sink
+        self._habits = Habits(day, rng)
         self._take, self._grace_us = take, grace_us
         self._out: dict[int, Arrival] = {}  # tries that wait for an answer
         self._waiting: deque[tuple[Arrival, int, int]] = deque()  # and for a connection: due, place
 
     def begin(self, arrival: Arrival, place: int = 0) -> None:
         """A first try is due, or a retry."""
-        kind = self._day.classes[arrival.service_class]
-        now = self._queue.now
-        left_us = max(arrival.at_us + kind.deadline_us - now, 1_000)
-        due = now + min(round(kind.deadline_us * self._day.clients.patience), left_us)
+        due = self._habits.due(arrival, self._queue.now)
         if len(self._out) >= self._day.clients.connections:
             self._waiting.append((arrival, due, place))
         else:
@@ -68,7 +63,7 @@
                     meant=arrival.at_us,
                 )
             )
-            self._retry(arrival, place, True, 0)
+            self._retry(arrival, place, 0)
             return
         self._queue.at(due + self._grace_us, self._give_up, number)
 
@@ -100,10 +95,8 @@
                 at=self._queue.now, request=request, status=status, attempt=attempt, timed_out=timed_out
             )
         )
-        kind = self._day.classes[arrival.service_class]
-        harmless = status in _REFUSED or kind.repeat == "read_like"
-        harmless = harmless or (kind.repeat == "idempotency_key" and kind.group == "all")
-        self._retry(arrival, request % MOST_RETRIES, status != 200 and harmless, after_us)
+        if self._habits.may_repeat(arrival, status):
+            self._retry(arrival, request % MOST_RETRIES, after_us)
         self._next()
 
     def lost(self, request: int) -> None:
@@ -118,13 +111,7 @@
         while self._waiting and len(self._out) < self._day.clients.connections:
             self._ask(*self._waiting.popleft())
 
-    def _retry(self, arrival: Arrival, place: int, may: bool, after_us: int) -> None:
-        clients = self._day.clients
-        if not may or place >= min(clients.retries, MOST_RETRIES - 1):
-            return
-        wait_us = round(
-            max(clients.backoff_us * self._rng.uniform(0.5, 1.5), min(after_us, _MOST_RETRY_AFTER_US))
-        )
-        deadline = arrival.at_us + self._day.classes[arrival.service_class].deadline_us
-        if self._queue.now + wait_us < deadline:
+    def _retry(self, arrival: Arrival, place: int, after_us: int) -> None:
+        wait_us = self._habits.again_after(arrival, place, after_us, self._queue.now)
+        if wait_us is not None:
             self._queue.after(wait_us, self.begin, arrival, place + 1)
--- a/plumtrestle/model/play.py
+++ b/plumtrestle/model/play.py
@@ -12,7 +12,7 @@
 from plumtrestle import events as log
 from plumtrestle.catalog import server_lives
 from plumtrestle.links import NEVER, Link, Links
-from plumtrestle.load.client import MOST_RETRIES
+from plumtrestle.load.habits import MOST_RETRIES
 from plumtrestle.model.clients import Clients
 from plumtrestle.model.discovery import ModelDiscovery
 from plumtrestle.model.policies import POLICIES, Policy, SeesTrueState
