--- a/plumtrestle/cli.py
+++ b/plumtrestle/cli.py
@@ -8,9 +8,7 @@
 
 import asyncio
 import json
-import subprocess
 import sys
-import tomllib
 from dataclasses import asdict
 from datetime import UTC, datetime
 from enum import Enum
@@ -22,7 +20,7 @@
 from rich.progress import Progress
 
 from plumtrestle import events as log
-from plumtrestle.emulator.copies import PlayError
+from plumtrestle.emulator.copies import PlayError, built
 from plumtrestle.emulator.play import Ground
 from plumtrestle.emulator.play import play as play_real
 from plumtrestle.experiment.compare import compared, knee
@@ -95,7 +93,7 @@
     day = draw(read(world), seed)
     root = root.resolve()
     if build:
-        build_program(root)
+        built(root)
     folder = out or root / "build" / "days" / f"{day.world}-{seed}-{datetime.now(UTC):%Y%m%dT%H%M%S}"
     print(f"plays {day.length_us / 1e6:g} s with {len(day.copies)} copies in {folder}", file=sys.stderr)
     path = asyncio.run(play_real(day, Ground(folder.resolve(), root, shards=shards, workers=workers)))
@@ -276,16 +274,5 @@
     raise typer.Exit(EXIT_CODES.get(verdict.word, SAYS_NOTHING))
 
 
-def build_program(root: Path) -> None:
-    """Do what the deploy file's `build` says; raise PlayError where it fails."""
-    try:
-        command = tomllib.loads((root / "deploy" / "balancer.toml").read_text())["build"]
-    except (OSError, KeyError, tomllib.TOMLDecodeError) as fault:
-        raise PlayError(f"{root}: no deploy/balancer.toml that names `build`: {fault}") from None
-    done = subprocess.run(["/bin/sh", "-c", command], cwd=root, capture_output=True, text=True, check=False)
-    if done.returncode:
-        raise PlayError(f"the build failed: {done.stderr.strip()[-500:]}")
-
-
 if __name__ == "__main__":
     main()
--- a/plumtrestle/emulator/copies.py
+++ b/plumtrestle/emulator/copies.py
@@ -35,15 +35,27 @@
     """The day can't be played; the text says why, for whoever asked for it."""
 
 
-def deployed(root: Path) -> str:
-    """The command that starts one copy of the program in a tree; raise PlayError if there is none."""
+def _named(root: Path, key: str) -> str:
     try:
-        command = tomllib.loads((root / "deploy" / "balancer.toml").read_text())["run"]
+        command = tomllib.loads((root / "deploy" / "balancer.toml").read_text())[key]
     except (OSError, KeyError, tomllib.TOMLDecodeError) as fault:
-        raise PlayError(f"{root}: no deploy/balancer.toml that names `run`: {fault}") from None
+        raise PlayError(f"{root}: no deploy/balancer.toml that names `{key}`: {fault}") from None
     return str(command)
 
 
+def deployed(root: Path) -> str:
+    """The command that starts one copy of the program in a tree; raise PlayError if there is none."""
+    return _named(root, "run")
+
+
+def built(root: Path) -> None:
+    """Do what a tree's deploy file says to build it; raise PlayError where that fails."""
+    command = ["/bin/sh", "-c", _named(root, "build")]
+    done = subprocess.run(command, cwd=root, capture_output=True, text=True, check=False)
+    if done.returncode:
+        raise PlayError(f"{root}: the build failed: {done.stderr.strip()[-500:]}")
+
+
 class Process:
     """One process of the program."""
 
--- a/plumtrestle/experiment/grid.py
+++ b/plumtrestle/experiment/grid.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from plumtrestle.emulator.copies import PlayError
+from plumtrestle.emulator.copies import PlayError, built
 from plumtrestle.experiment.cell import Cell
 from plumtrestle.experiment.store import Key, Store
 from plumtrestle.experiment.variants import Variant, checked_out, digest
@@ -79,9 +79,11 @@
 
 def _tree(grid: Grid, variant: Variant, stack: ExitStack) -> tuple[Path, tuple[str, ...], str]:
     """The tree of a variant, where its modules are found, and one name for its sources."""
+    tree = grid.root if variant.commit is None else checked_out(grid.root, variant.commit)
+    if grid.engine == "emulator":
+        built(tree)  # real copies are started there as its own deploy file says
     if variant.commit is None:
-        return grid.root, (str(HERE),), digest(HERE)
-    tree = checked_out(grid.root, variant.commit)
+        return tree, (str(HERE),), digest(HERE)
     # Its module with this ground: a folder that holds that package alone comes first.
     folder = Path(stack.enter_context(tempfile.TemporaryDirectory(prefix="plumtrestle-")))
     (folder / "magpiemux").symlink_to(tree / "magpiemux")
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import subprocess
+import sys
 from math import comb
 from pathlib import Path
 
@@ -120,3 +122,11 @@
                 break
     expected = 1 / (1 - comb(busy, drawn) / comb(count, drawn))
     assert draws / requests == pytest.approx(expected, rel=0.02)
+
+
+def test_a_baseline_speaks_on_the_simulators_wire() -> None:
+    command = [sys.executable, "-m", "plumtrestle.model.wire"]
+    batch = '["FRAME",1]\n["COMMIT"]\n'
+    done = subprocess.run([*command, "best-of-2"], input=batch, capture_output=True, text=True, check=False)
+    assert (done.returncode, done.stdout) == (0, '["DONE"]\n')
+    assert subprocess.run([*command, "true-state"], capture_output=True, check=False).returncode == 2
