--- a/plumtrestle/cli.py
+++ b/plumtrestle/cli.py
@@ -97,11 +97,7 @@
     folder = out or root / "build" / "days" / f"{day.world}-{seed}-{datetime.now(UTC):%Y%m%dT%H%M%S}"
     print(f"plays {day.length_us / 1e6:g} s with {len(day.copies)} copies in {folder}", file=sys.stderr)
     path = asyncio.run(play_real(day, Ground(folder.resolve(), root, shards=shards, workers=workers)))
-    history = gather(log.load(path))
-    shown = path.with_name("report.html")
-    shown.write_text(page([of_one_day(history)], f"{day.world}, seed {seed}"))
-    print(f"its report: {shown}", file=sys.stderr)
-    tell(history, as_json)
+    tell(gather(log.load(path)), as_json, path.with_name("report.html"))
 
 
 @app.command(epilog="Example: plumtrestle model zone-lost --seed 3 --policy best-of-2")
@@ -264,9 +260,13 @@
         console.print(f"[bold]{name}[/]  {shipped(name).about}", highlight=False)
 
 
-def tell(history: History, as_json: bool) -> None:
-    """Judge a day, print what it came to, and exit by the verdict."""
+def tell(history: History, as_json: bool, out: Path | None = None) -> None:
+    """Judge a day, print what it came to, write its page where one is wanted, and exit by the verdict."""
     verdict, counted = judge(history), account(history)
+    if out is not None:
+        title = f"{history.day.world}, seed {history.day.seed}"
+        out.write_text(page([of_one_day(history, verdict, counted)], title))
+        print(f"its report: {out}", file=sys.stderr)
     if as_json:
         print(json.dumps(tables.plain(history, verdict, counted)))
     else:
--- a/plumtrestle/emulator/copies.py
+++ b/plumtrestle/emulator/copies.py
@@ -20,13 +20,11 @@
 from plumtrestle import events as log
 from plumtrestle.clock import DayClock
 from plumtrestle.world.day import Copy, Day
-from plumtrestle.world.settings import settings
+from plumtrestle.world.settings import killed_after_us, settings
 
 _LOOK_S = 0.02
 _MOST_LOG = 4 << 20  # bytes kept of what one copy writes
 _LAST_LINES = 5
-_KILLED_AFTER_S = 0.7  # SIGKILL comes no sooner after SIGTERM than this and the longest deadline
-_LONGEST_DEADLINE_S = 3.0
 _PR_SET_PDEATHSIG, _PR_CAPBSET_DROP, _CAP_DAC_OVERRIDE = 1, 24, 1
 _LIBC = ctypes.CDLL(None)
 
@@ -87,7 +85,7 @@
             preexec_fn=prepare,
         )
         self.ended = asyncio.Event()
-        self.killed = self.stopping = False
+        self.killed = False
         self._log_file = log_file
         self._handle = os.pidfd_open(self._popen.pid)
         asyncio.get_running_loop().add_reader(self._handle, self._over)
@@ -96,10 +94,6 @@
         os.set_blocking(self._said.fileno(), False)
         asyncio.get_running_loop().add_reader(self._said.fileno(), self._hear)
 
-    @property
-    def pid(self) -> int:
-        return self._popen.pid
-
     @property
     def code(self) -> int | None:
         return self._popen.returncode
@@ -136,7 +130,7 @@
     def limit_files(self, most: int) -> None:
         """Let it write no file beyond so many bytes: a disk that is full."""
         with contextlib.suppress(ProcessLookupError):
-            resource.prlimit(self.pid, resource.RLIMIT_FSIZE, (most, resource.RLIM_INFINITY))
+            resource.prlimit(self._popen.pid, resource.RLIMIT_FSIZE, (most, resource.RLIM_INFINITY))
 
 
 class Sidecar:
@@ -165,7 +159,7 @@
         self._held: socket.socket | None = None
         self._door: tuple[str, int] | None = None  # of operators, at the latest process
         self._ahead_s = 0.0  # its clock before the true one
-        self._watches: set[asyncio.Task[None]] = set()
+        self._running: dict[Process, asyncio.Task[None]] = {}  # two at an upgrade; each with its watch
         self._paused = 0
         self.lifecycle = asyncio.Lock()
         (folder / "tmp").mkdir(parents=True)
@@ -240,9 +234,7 @@
         )
         self.process, self._door = process, door
         self.tell("started", life)
-        watch = asyncio.create_task(self._watch(process, life))
-        self._watches.add(watch)
-        watch.add_done_callback(self._watches.discard)
+        self._running[process] = asyncio.create_task(self._watch(process, life))
         return process, life, door
 
     def _worded(self) -> str:
@@ -270,6 +262,7 @@
     async def _watch(self, process: Process, life: int) -> None:
         """Tell of its end, unless it was killed from here."""
         await process.ended.wait()
+        del self._running[process]
         if not process.killed:
             self.tell("ended", life, process.code)
 
@@ -318,11 +311,9 @@
         if process.ended.is_set():
             return
         self.tell("stopping", life)
-        process.stopping = True
         process.signal(signal.SIGTERM)
-        longest_s = max(each.deadline_us for each in self._day.classes) / 1e6
         try:
-            async with asyncio.timeout(min(longest_s, _LONGEST_DEADLINE_S) + _KILLED_AFTER_S):
+            async with asyncio.timeout(killed_after_us(self._day) / 1e6):
                 await process.ended.wait()
         except TimeoutError:
             process.killed = True
@@ -379,13 +370,12 @@
             each.write_bytes(kept[:place] + garbage)
 
     async def close(self) -> None:
-        """End whatever still runs."""
-        if self.process is not None and not self.process.ended.is_set():
-            self.process.killed = True
-            self.process.signal(signal.SIGKILL)
-            await self.process.ended.wait()
-        for watch in list(self._watches):
-            watch.cancel()
+        """End whatever still runs: at an upgrade that is not over, two processes."""
+        watches = list(self._running.values())
+        for process in self._running:
+            process.killed = True
+            process.signal(signal.SIGKILL)
+        await asyncio.gather(*watches)
         if self._held is not None:
             self._held.close()
 
--- a/plumtrestle/emulator/play.py
+++ b/plumtrestle/emulator/play.py
@@ -24,12 +24,11 @@
 from plumtrestle.emulator.switch import Gate
 from plumtrestle.links import Links
 from plumtrestle.load import worker as loads
-from plumtrestle.streams import seeded
+from plumtrestle.streams import MOST_LINE, seeded
 from plumtrestle.world.day import DISCOVERY, Copy, Day, Trouble
 
 __all__ = ["Ground", "PlayError", "play"]
 
-BEFORE = -(1 << 50)  # when the log begins
 _START_S = 0.3  # from everybody being ready to the day's beginning
 _ANSWER_WITHIN_S = 60.0  # for a process of the ground
 _MOST_COPIES, _MOST_LINKS = 64, 20_000
@@ -65,7 +64,7 @@
             module,
             stdin=asyncio.subprocess.PIPE,
             stdout=asyncio.subprocess.PIPE,
-            limit=1 << 26,
+            limit=MOST_LINE,
             start_new_session=True,
             env={**os.environ, "PYTHONPATH": os.pathsep.join(each for each in sys.path if each)},
         )
@@ -108,7 +107,7 @@
     for stale in (*log.parts(ground.folder), ground.folder / "log.jsonl"):
         stale.unlink(missing_ok=True)
     with log.Writer(ground.folder / "part-day.jsonl") as writer:
-        writer.write(log.Began(at=BEFORE, day=day, engine="emulator", variant=ground.variant))
+        writer.write(log.Began(at=log.BEFORE, day=day, engine="emulator", variant=ground.variant))
         writer.flush()
         played = _Play(day, ground, writer)
         try:
@@ -129,10 +128,10 @@
         )
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     needed = 3 * links + 8 * len(day.copies) + _SPARE_DESCRIPTORS
-    if soft < needed <= hard or (soft < needed and hard == resource.RLIM_INFINITY):
-        resource.setrlimit(resource.RLIMIT_NOFILE, (needed, hard))
-    elif hard < needed and hard != resource.RLIM_INFINITY:
+    if hard != resource.RLIM_INFINITY and hard < needed:
         raise PlayError(f"the day needs {needed} descriptors, and this user may have {hard}")
+    if soft != resource.RLIM_INFINITY and soft < needed:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (needed, hard))
 
 
 class _Play:
--- a/plumtrestle/events.py
+++ b/plumtrestle/events.py
@@ -213,6 +213,7 @@
 _ENCODER = msgspec.json.Encoder()
 _DECODER: msgspec.json.Decoder[Event] = msgspec.json.Decoder(Event)
 _BUFFER = 1 << 16
+BEFORE = -(1 << 50)  # when a log begins: before everything that comes ahead of its day
 
 
 class LogError(Exception):
--- a/plumtrestle/experiment/variants.py
+++ b/plumtrestle/experiment/variants.py
@@ -60,28 +60,20 @@
     raise PlayError(f"{word}: no such variant: give {HELP}".replace("`", ""))
 
 
+def _git(root: Path, *words: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(["git", *words], cwd=root, capture_output=True, text=True, check=False)
+
+
 def checked_out(root: Path, commit: str) -> Path:
     """A worktree of an earlier commit below build/worktrees; raise PlayError if git has none."""
-    named = subprocess.run(
-        ["git", "rev-parse", "--verify", f"{commit}^{{commit}}"],
-        cwd=root,
-        capture_output=True,
-        text=True,
-        check=False,
-    )
+    named = _git(root, "rev-parse", "--verify", f"{commit}^{{commit}}")
     if named.returncode:
         raise PlayError(f"commit:{commit}: git knows no such commit")
     name = named.stdout.strip()
     folder = root / "build" / "worktrees" / name[:12]
     if not folder.exists():
         folder.parent.mkdir(parents=True, exist_ok=True)
-        made = subprocess.run(
-            ["git", "worktree", "add", "--detach", str(folder), name],
-            cwd=root,
-            capture_output=True,
-            text=True,
-            check=False,
-        )
+        made = _git(root, "worktree", "add", "--detach", str(folder), name)
         if made.returncode:
             raise PlayError(f"commit:{commit}: {made.stderr.strip()}")
     return folder
--- a/plumtrestle/load/worker.py
+++ b/plumtrestle/load/worker.py
@@ -19,8 +19,6 @@
 from plumtrestle.streams import lines_of_input, seeded
 from plumtrestle.world import Day, arrivals
 
-_FLUSH_S = 0.5
-
 
 class Plan(msgspec.Struct, frozen=True):
     """What one process of the load does."""
--- a/plumtrestle/model/play.py
+++ b/plumtrestle/model/play.py
@@ -22,16 +22,13 @@
 from plumtrestle.streams import seeded
 from plumtrestle.world.arrivals import Arrival, arrivals
 from plumtrestle.world.day import Day, Trouble
-from plumtrestle.world.settings import settings
+from plumtrestle.world.settings import killed_after_us, settings
 
 START_US = 150_000  # from a process's start to its readiness, as real ones take on a quiet machine
 _LISTENS_ON_US = 400_000  # after SIGTERM
-_KILLED_AFTER_US = 700_000
-_LONGEST_US = 3_000_000
 _GRACE_US = 600_000
 _FIGURES_EVERY_US = 500_000
 _FIGURES_OF = 32  # copies at most: each looks at its whole list
-_BEFORE = -(1 << 50)
 
 
 class Copy:
@@ -139,8 +136,7 @@
         if process is None or process.is_over:
             return
         self._say("stopping", life)
-        longest = min(max(each.deadline_us for each in self.day.classes), _LONGEST_US)
-        until = self.queue.now + longest + _KILLED_AFTER_US
+        until = self.queue.now + killed_after_us(self.day)
         self.queue.after(_LISTENS_ON_US, self._stop_listening, process)
         self.queue.after(_LISTENS_ON_US, self._end_when_done, process, life, until)
 
@@ -169,7 +165,7 @@
 
     def _retire(self, old: Sidecar, life: int) -> None:
         self._say("stopping", life)
-        self._end_when_done(old, life, self.queue.now + _LONGEST_US + _KILLED_AFTER_US)
+        self._end_when_done(old, life, self.queue.now + killed_after_us(self.day))
 
     def pause(self) -> None:
         if self._process is not None and not self._process.is_over:
@@ -290,7 +286,7 @@
 
 def play(day: Day, policy: str, sink: Sink, variant: str | None = None) -> None:
     """Play a day with a policy by its name, and hand every event of its log to `sink`."""
-    sink(log.Began(at=_BEFORE, day=day, engine="model", variant=variant or policy))
+    sink(log.Began(at=log.BEFORE, day=day, engine="model", variant=variant or policy))
     Model(day, POLICIES[policy], sink).play()
 
 
--- a/plumtrestle/report/page.py
+++ b/plumtrestle/report/page.py
@@ -12,7 +12,7 @@
 from plumtrestle.experiment.store import Key
 from plumtrestle.report import plots
 from plumtrestle.report.tables import plain
-from plumtrestle.rules import account, judge, series
+from plumtrestle.rules import Account, Verdict, series
 from plumtrestle.rules.history import History
 
 _MOST_BREACHES = 3
@@ -29,9 +29,9 @@
     plots: list[str]
 
 
-def of_one_day(history: History) -> tuple[Key, dict[str, Any]]:
+def of_one_day(history: History, verdict: Verdict, counted: Account) -> tuple[Key, dict[str, Any]]:
     """A single day as a result, for a page of its own."""
-    told = plain(history, judge(history), account(history))
+    told = plain(history, verdict, counted)
     key = Key(history.day.world, history.day.seed, history.variant, history.engine, 1.0, _ONE_DAY)
     return key, {**told, "series": to_builtins(series(history))}
 
--- a/plumtrestle/rules/judge.py
+++ b/plumtrestle/rules/judge.py
@@ -16,11 +16,11 @@
     DRAIN_GRACE_US,
     FALL_MULTIPLE,
     FALL_US,
+    NEW_FOR_US,
 )
 
 _SOCKETS_US = 50_000  # every limit is so much longer on sockets
 _WRITERS_US = 100_000  # how far two writers of a log may part on when something was
-_NEW_FOR_US = 700_000  # what comes later than this after SIGTERM may go unanswered
 _RESUMED_US = 1_000_000  # and what is due up to so long after a pause
 _COLD_CHANCE = 5.0  # requests of mean work that a cold server may get over its budget, by chance
 _LATE_US = 50_000  # a writer later than this distorts what it writes
@@ -110,10 +110,10 @@
         if life.copy != taken.copy:
             continue
         if life.killed is not None and taken.at - _WRITERS_US <= life.killed <= at + _WRITERS_US:
-            if life.stopping is None or taken.at > life.stopping + _NEW_FOR_US:
+            if life.stopping is None or taken.at > life.stopping + NEW_FOR_US:
                 return True
         if life.stopping is not None and life.ended is not None:
-            if life.stopping + _NEW_FOR_US < taken.at <= life.ended + _WRITERS_US:
+            if life.stopping + NEW_FOR_US < taken.at <= life.ended + _WRITERS_US:
                 return True
     return any(
         since - _WRITERS_US <= taken.due and taken.at <= until + _RESUMED_US
--- a/plumtrestle/streams.py
+++ b/plumtrestle/streams.py
@@ -8,12 +8,12 @@
 
 from plumtrestle.world.draw import stream
 
-_MOST_LINE = 1 << 26  # bytes: a day with all of its parties
+MOST_LINE = 1 << 26  # bytes: a day with all of its parties
 
 
 async def lines_of_input() -> asyncio.StreamReader:
     """Standard input, to be read without holding up the loop."""
-    reader = asyncio.StreamReader(limit=_MOST_LINE)
+    reader = asyncio.StreamReader(limit=MOST_LINE)
     loop = asyncio.get_running_loop()
     await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
     return reader
--- a/plumtrestle/world/settings.py
+++ b/plumtrestle/world/settings.py
@@ -11,6 +11,13 @@
 DRAIN_GRACE_US = 2_000_000
 FALL_US = 1_500_000
 FALL_MULTIPLE = 3.0
+NEW_FOR_US = 700_000  # so long after SIGTERM requests still come
+_LONGEST_DEADLINE_US = 3_000_000
+
+
+def killed_after_us(day: Day) -> int:
+    """How soon SIGKILL may come after SIGTERM: after the longest deadline, within a bound, and a little."""
+    return min(max(each.deadline_us for each in day.classes), _LONGEST_DEADLINE_US) + NEW_FOR_US
 
 
 def settings(day: Day, copy: int) -> dict[str, Any]:
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -19,7 +19,7 @@
 
 from plumtrestle import events as log
 from plumtrestle.clock import DayClock
-from plumtrestle.emulator.copies import PlayError
+from plumtrestle.emulator.copies import PlayError, Sidecar
 from plumtrestle.emulator.play import Ground
 from plumtrestle.emulator.play import play as play_day
 from plumtrestle.emulator.switch import Gate, Handler, Passage
@@ -337,3 +337,21 @@
     monkeypatch.setattr(resource, "getrlimit", lambda which: (128, 200))
     with pytest.raises(PlayError, match="descriptors, and this user may have 200"):
         asyncio.run(play_day(a_day(base=read_small()), ground(tmp_path / "day")))
+
+
+def test_both_processes_of_an_upgrade_are_ended_at_the_close(tmp_path: Path) -> None:
+    async def work() -> None:
+        with log.Writer(tmp_path / "part.jsonl") as writer:
+            day, clock = a_day(base=read_small()), DayClock()
+            rng, folder = random.Random(1), tmp_path / "copy"
+            copy = Sidecar(day, day.copies[0], "exec sleep 600", ROOT, folder, clock, writer, rng, 1.0)
+            copy.configure("127.0.0.1:9", [], "")
+            for life in (1, 2):
+                with pytest.raises(PlayError, match="not ready"):
+                    await copy.start()
+                assert copy.life == life
+            assert len(running_below(tmp_path)) == 2
+            await copy.close()
+
+    play(work)
+    assert running_below(tmp_path) == []
