Add membership without I/O: lives, suspicion, gossip and exchange within 256 bytes

Change: micadeck/tier/, without I/O; time, chance and datagrams are handed in. SWIM with Lifeguard's local health and shrinking suspicions. Each start is a life; claims of a member have one order (life, its end, round, suspicion), so any order of merging gives the same table, and a life once ended stays ended: who is wrongly called dead goes on as a new life. Where two digests differ, a question carries half a byte for each member and the answer just what differs. plumtrestle/tier/ runs the same lines in virtual time.

--- /dev/null
+++ b/plumtrestle/tier/virtual.py
@@ -0,0 +1,216 @@
+"""Members over a network of datagrams in virtual time: lost, late, doubled, held, cut; and who is gone.
+
+Every member runs `micadeck.tier` as the sidecar does; nothing of it is modelled.  Times are microseconds.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+
+from micadeck.tier.membership import Membership
+from micadeck.tier.message import State
+from micadeck.tier.settings import MembershipSettings
+from micadeck.tier.view import Action, Datagram, Doubled, News, Slept, Wake
+from plumtrestle.model.queue import Queue
+
+S = 1_000_000
+UNIX_S = 1_780_000_000.0  # the wall clock when virtual time begins
+_NEVER = 1 << 62
+Told = tuple[int, int, Action]  # at, by which member, what
+
+
+class Process:
+    """One process of a member."""
+
+    def __init__(self, tier: VirtualTier, number: int, size: int, ahead_s: float) -> None:
+        self.number = number
+        self.began = tier.queue.now
+        self.is_alive = True
+        self.late_us = 0  # each of its datagrams and ticks takes so much longer: starved of its processor
+        self._tier = tier
+        self._paused = False
+        self._waiting: list[tuple[int, bytes]] = []  # what came while it was paused
+        self._wake = _NEVER
+        self.sent = self.sent_bytes = 0
+        self.membership = Membership(
+            number,
+            size,
+            tier.name,
+            tier.settings,
+            random.Random(tier.random.getrandbits(64)),
+            tier.queue.now,
+            UNIX_S + tier.queue.now / 1e6 + ahead_s,
+        )
+        self.carry_out(self.membership.start(tier.queue.now))
+
+    def hear(self, sender: int, payload: bytes) -> None:
+        if self._paused:
+            self._waiting.append((sender, payload))
+        elif self.is_alive:
+            self.carry_out(self.membership.heard(self._tier.queue.now, sender, payload))
+
+    def carry_out(self, actions: list[Action]) -> None:
+        now = self._tier.queue.now
+        for action in actions:
+            match action:
+                case Datagram():
+                    self._tier.carry(self, action)
+                case Wake():
+                    self._wake = action.at
+                    self._tier.queue.at(action.at + self.late_us, self._tick, action.at)
+                case News() | Doubled() | Slept():
+                    self._tier.told.append((now, self.number, action))
+
+    def _tick(self, at: int) -> None:
+        if self.is_alive and not self._paused and at == self._wake:
+            self.carry_out(self.membership.tick(self._tier.queue.now))
+
+    def kill(self) -> None:
+        self.is_alive = False
+
+    def leave(self, has_successor: bool = False) -> None:
+        self.carry_out(self.membership.leave(self._tier.queue.now, has_successor))
+        self.is_alive = False
+
+    def pause(self) -> None:
+        self._paused = True
+
+    def resume(self) -> None:
+        """Go on: what came meanwhile first, as sockets are read before timers are looked at."""
+        self._paused = False
+        waiting, self._waiting = self._waiting, []
+        for sender, payload in waiting:
+            self.hear(sender, payload)
+        if self.is_alive:
+            self.carry_out(self.membership.tick(self._tier.queue.now))
+
+
+class VirtualTier:
+    """All members, and what lies between them."""
+
+    def __init__(
+        self,
+        size: int,
+        seed: int = 1,
+        *,
+        loss: float = 0.0,
+        delay_us: int = 1_000,
+        settings: MembershipSettings | None = None,
+        name: str = "a",
+        start: Iterable[int] | None = None,
+    ) -> None:
+        """All of `start` begin at once; by default everybody does."""
+        self.size, self.loss, self.delay_us, self.name = size, loss, delay_us, name
+        self.settings = settings or MembershipSettings()
+        self.random = random.Random(seed)
+        self.queue = Queue()
+        self.told: list[Told] = []
+        self.delivered = 0
+        self.double = 0.0
+        self.late = 0.0  # part of the datagrams that come up to a second late, out of order
+        # Whether a datagram from one to another is lost to a cut now, and until when one is held back.
+        self.is_cut: Callable[[int, int], bool] = lambda source, target: False
+        self.held_until: Callable[[int, int], int] = lambda source, target: 0
+        self.processes: dict[int, list[Process]] = {}
+        for number in range(size) if start is None else start:
+            self.start(number)
+
+    # Who lives
+
+    def start(self, number: int, ahead_s: float = 0.0, size: int | None = None) -> Process:
+        """A process begins, beside any that the member has; its wall clock is so far ahead."""
+        process = Process.__new__(Process)
+        self.processes.setdefault(number, []).append(process)
+        process.__init__(self, number, size or self.size, ahead_s)  # type: ignore[misc]
+        return process
+
+    def kill(self, number: int) -> None:
+        for process in self.processes.pop(number, []):
+            process.kill()
+
+    def leave(self, number: int) -> None:
+        for process in self.processes.pop(number, []):
+            process.leave()
+
+    def upgrade(self, number: int, overlap_us: int = S) -> None:
+        """A second process beside the first, which ends a little later."""
+        (old,) = self.processes[number]
+        self.start(number)
+
+        def retire() -> None:
+            self.processes[number].remove(old)
+            old.leave(has_successor=True)
+
+        self.queue.after(overlap_us, retire)
+
+    def of(self, number: int) -> Membership:
+        """The membership of a member's latest process."""
+        return self.processes[number][-1].membership
+
+    @property
+    def alive(self) -> list[int]:
+        return sorted(self.processes)
+
+    # What lies between
+
+    def carry(self, source: Process, datagram: Datagram) -> None:
+        everybody = (each for each in range(self.size) if each != source.number)
+        source.sent += 1
+        source.sent_bytes += len(datagram.payload)
+        for target in everybody if datagram.receiver is None else (datagram.receiver,):
+            if self.is_cut(source.number, target) or self.random.random() < self.loss:
+                continue
+            late = self.random.randrange(S) if self.random.random() < self.late else 0
+            at = max(self.queue.now + self.delay_us + late, self.held_until(source.number, target))
+            for _ in range(2 if self.random.random() < self.double else 1):
+                self.queue.at(at + source.late_us, self.deliver, source.number, target, datagram.payload)
+
+    def deliver(self, source: int, target: int, payload: bytes) -> None:
+        """Hand a datagram to one process of a member; which, is by its source, as the system does it."""
+        found = self.processes.get(target)
+        if found:
+            self.delivered += 1
+            process = found[(source * 2_654_435_761 >> 8) % len(found)]
+            if process.late_us:
+                self.queue.after(process.late_us, process.hear, source, payload)
+            else:
+                process.hear(source, payload)
+
+    def run(self, seconds: float) -> None:
+        self.queue.run(self.queue.now + int(seconds * S))
+
+    # What is believed
+
+    def views(self) -> dict[int, bytes]:
+        """By member that lives, what it believes of each: a byte of State for each."""
+        return {
+            number: bytes([each.claim.mark & 3 for each in self.of(number).table.members])
+            for number in self.alive
+        }
+
+    def is_agreed(self) -> bool:
+        """Whether all that live hold the same lives and ends, and believe just those that live present."""
+        digests = {self.of(number).table.digest for number in self.processes}
+        states = set(self.views().values()) if len(digests) == 1 else set()
+        return len(states) == 1 and all(
+            each == State.PRESENT if number in self.processes else each >= State.DEAD
+            for number, each in enumerate(states.pop())
+        )
+
+    def until_agreed(self, within_s: float, step_s: float = 0.25) -> float | None:
+        """Run until all agree; give after how many seconds, or None if not within the bound."""
+        began = self.queue.now
+        while self.queue.now - began <= within_s * S:
+            if self.is_agreed():
+                return (self.queue.now - began) / S
+            self.run(step_s)
+        return None
+
+    def news(self, state: State, member: int | None = None) -> list[tuple[int, int, News]]:
+        """What was told of members becoming so, in order of time."""
+        return [
+            (at, by, what)
+            for at, by, what in self.told
+            if isinstance(what, News) and what.state is state and member in (None, what.member)
+        ]
