--- a/micadeck/__main__.py
+++ b/micadeck/__main__.py
@@ -45,13 +45,13 @@
 
 
 def reread(sidecar: Sidecar, log: LineLog) -> None:
-    """Take over what may change while running: where discovery is.  A bad file changes nothing."""
+    """Take over what may change while running; a bad file changes nothing."""
     try:
         config = load(os.environ)
     except ConfigError as fault:
         log(f"kept the configuration: {fault}".replace("\n", " "))
         return
-    sidecar.move_discovery(config.discovery)
+    sidecar.reconfigure(config)
     log(f"re-read the configuration: discovery is at {config.discovery[0]}:{config.discovery[1]}")
 
 
--- a/micadeck/config.py
+++ b/micadeck/config.py
@@ -12,6 +12,7 @@
 from magpiemux.adapter import settings_from_wire
 from micadeck.client import Address, parse_address
 from micadeck.discovery import Listing, parse_listing
+from micadeck.tier.settings import MembershipSettings
 
 _DEFAULT_SOCKETS = 1_024
 _DEFAULT_MEMORY_MB = 64
@@ -36,6 +37,8 @@
     peer_listen: Address | None
     peers: tuple[Address, ...]
     peers_all: Address | None
+    tier: str  # by its name: datagrams of another are not taken
+    membership: MembershipSettings
     console: Address | None  # None: there is no door for operators
     socket_fd: int | None  # where the platform holds the clients' listening socket
     folder: Path | None  # for what has to outlive a process
@@ -90,12 +93,21 @@
         peer_listen=_optional_address("peer_listen", given.get("peer_listen")),
         peers=tuple(_address(f"peers[{index}]", each) for index, each in enumerate(peers)),
         peers_all=_optional_address("peers_all", given.get("peers_all")),
+        tier=str(given["settings"].get("tier", 0)),
+        membership=_membership(given.get("membership")),
         console=_optional_address("console", given.get("console")),
         socket_fd=_descriptor((environ or {}).get("BALANCER_SOCKET_FD")),
         folder=Path(environ["TMPDIR"]) if environ and environ.get("TMPDIR") else None,
     )
 
 
+def _membership(given: object) -> MembershipSettings:
+    try:
+        return MembershipSettings.from_mapping(given)
+    except ValueError as nonsense:
+        raise ConfigError(f"membership.{nonsense}") from None
+
+
 def _text(given: Mapping[str, Any], key: str) -> str:
     value = given.get(key)
     if not isinstance(value, str) or not value:
--- /dev/null
+++ b/micadeck/members.py
@@ -0,0 +1,186 @@
+"""The other sidecars, for this process: membership's datagrams, timer, log lines and figures.
+
+What is believed is `micadeck.tier`'s; here it gets its time and chance, its datagrams are carried, and who
+wants to know is told.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+
+from micadeck.clock import Clock
+from micadeck.peers import Peers
+from micadeck.tier.membership import Membership
+from micadeck.tier.message import State
+from micadeck.tier.settings import MembershipSettings
+from micadeck.tier.view import Action, Datagram, Doubled, News, Size, Slept, Wake
+
+_SAY_EVERY_S = 1.0  # what changed is told in one line, at most so often
+_MOST_NAMED = 8  # changes in one line; what is beyond is counted
+_MOST_LISTED = 64  # members in the figures by name; the view holds all
+_AGAIN_US = 1_000_000  # after a defect, the next tick
+_LETTERS = {State.PRESENT: "p", State.SUSPECTED: "s", State.DEAD: "d", State.LEFT: "l"}
+_UNKNOWN = "?"
+
+
+class Members:
+    """Keeps track of the tier while it is switched on and the platform allows datagrams."""
+
+    def __init__(
+        self,
+        me: int,
+        tier: str,
+        seed: int,
+        clock: Clock,
+        peers: Peers,
+        log: Callable[[str], None],
+        on_size: Callable[[Size], None] = lambda size: None,
+    ) -> None:
+        """`on_size` hears of each change of the tier's size."""
+        self.membership: Membership | None = None
+        self.requests = 0  # taken since membership was told last
+        self._me, self._tier = me, tier
+        self._random = random.Random(f"members {seed}")
+        self._clock, self._peers, self._log, self._on_size = clock, peers, log, on_size
+        self._timer: asyncio.TimerHandle | None = None
+        self._changes: list[str] = []
+        self._saying: asyncio.TimerHandle | None = None
+        self._size: Size | None = None
+
+    def configure(self, settings: MembershipSettings) -> None:
+        """Be on or off, with these settings and the peers that there are now."""
+        size, now = self._peers.size, self._clock.now()
+        if not settings.on or not 0 <= self._me < size:
+            self.leave()
+        elif self.membership is None:
+            own = random.Random(self._random.getrandbits(64))
+            self.membership = Membership(self._me, size, self._tier, settings, own, now, time.time())
+            self._carry_out(self.membership.start(now))
+        else:
+            self._carry_out(self.membership.configure(now, size, settings))
+
+    def heard(self, sender: int, payload: bytes) -> None:
+        """A datagram from a member."""
+        membership = self.membership
+        if membership is not None:
+            self._work(membership)
+            self._carry_out(membership.heard(self._clock.now(), sender, payload))
+
+    def leave(self, has_successor: bool = False) -> None:
+        """This process ends: say so, unless another goes on in its place."""
+        membership, self.membership = self.membership, None
+        self._size = None
+        if self._timer is not None:
+            self._timer.cancel()
+        if membership is not None:
+            self._carry_out(membership.leave(self._clock.now(), has_successor))
+
+    def close(self) -> None:
+        for timer in (self._timer, self._saying):
+            if timer is not None:
+                timer.cancel()
+
+    def figures(self) -> dict[str, object] | None:
+        """What operators see of it; None while it is off."""
+        membership = self.membership
+        if membership is None:
+            return None
+        now, size, members = self._clock.now(), membership.size(), membership.table.members
+        absent = [
+            {
+                "member": number,
+                "state": each.state.name.lower(),
+                "since_s": round((now - each.since) / 1e6, 1),
+                "by": each.claim.by,
+            }
+            for number, each in enumerate(members)
+            if each.state is not State.PRESENT
+        ]
+        return {
+            "configured": size.configured,
+            "present": size.present,
+            "suspected": size.suspected,
+            "unknown": size.unknown,
+            "dead": size.dead,
+            "left": size.left,
+            "at_least": size.low,
+            "at_most": size.high,
+            "in_minority": size.in_minority,
+            "doubled": membership.is_doubled,
+            "life": membership.life,
+            "doubt_of_itself": membership.health.score,
+            "period_s": round(membership.period_us / 1e6, 3),
+            "nobody_heard_for_s": round(membership.silent_for(now) / 1e6, 1),
+            "dropped": {**membership.dropped, "a stranger": self._peers.strangers},
+            "view": "".join(_UNKNOWN if each.is_unknown else _LETTERS[each.state] for each in members),
+            "absent": absent[:_MOST_LISTED],
+        }
+
+    def _tick(self) -> None:
+        self._timer = None
+        membership = self.membership
+        if membership is None:
+            return
+        self._work(membership)
+        try:
+            self._carry_out(membership.tick(self._clock.now()))
+        except Exception as fault:
+            self._log(f"internal error: {fault!r} (membership)")
+            self._wake_at(self._clock.now() + _AGAIN_US)
+
+    def _work(self, membership: Membership) -> None:
+        requests, self.requests = self.requests, 0
+        membership.worked(self._clock.now(), requests)
+
+    def _carry_out(self, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case Datagram():
+                    self._peers.tell(action.receiver, action.payload)
+                case Wake():
+                    self._wake_at(action.at)
+                case News():
+                    self._changed(f"{action.member} {action.state.name.lower()} (by {action.by})")
+                case Doubled():
+                    self._log(f"another process claims this sidecar's number {action.member}: look for it")
+                case Slept():
+                    self._log(
+                        f"stood still for {action.late_us / 1e6:.1f} s: trusts its own sight less for now"
+                    )
+        membership = self.membership
+        if membership is not None:
+            size = membership.size()
+            if size != self._size:
+                self._size = size
+                self._on_size(size)
+
+    def _wake_at(self, at: int) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        wait_s = max((at - self._clock.now()) / 1e6, 0.001)  # a timer that is due at once must not spin
+        self._timer = asyncio.get_running_loop().call_later(wait_s, self._tick)
+
+    # The log
+
+    def _changed(self, what: str) -> None:
+        self._changes.append(what)
+        if self._saying is None:
+            self._saying = asyncio.get_running_loop().call_later(_SAY_EVERY_S, self._say)
+
+    def _say(self) -> None:
+        self._saying = None
+        changes, self._changes = self._changes, []
+        size = self._size
+        if size is None:
+            return
+        named = ", ".join(changes[:_MOST_NAMED])
+        more = f" and {len(changes) - _MOST_NAMED} more" if len(changes) > _MOST_NAMED else ""
+        counted = f"{size.present} of {size.configured} present"
+        for name in ("suspected", "unknown", "dead", "left"):
+            if getattr(size, name):
+                counted += f", {getattr(size, name)} {name}"
+        minority = "; this copy sees half or fewer" if size.in_minority else ""
+        self._log(f"members: {counted}{minority}: {named}{more}")
--- a/micadeck/peers.py
+++ b/micadeck/peers.py
@@ -27,6 +27,21 @@
         self._numbers = {address: number for number, address in enumerate(peers)}
         self._on_message = on_message
         self._transport: asyncio.DatagramTransport | None = None
+        self.strangers = 0  # datagrams from nobody of the tier, or too long
+
+    @property
+    def is_listening(self) -> bool:
+        return self._transport is not None
+
+    @property
+    def size(self) -> int:
+        """How many sidecars the tier has, this one included."""
+        return len(self._peers)
+
+    def move(self, peers: tuple[Address, ...], everyone: Address | None) -> None:
+        """The others are at these addresses from now on."""
+        self._peers, self._everyone = peers, everyone
+        self._numbers = {address: number for number, address in enumerate(peers)}
 
     async def listen(self, address: Address, shared: bool = False) -> None:
         """Hear others at this address, shared with another process of this sidecar if need be."""
@@ -53,6 +68,7 @@
     def close(self) -> None:
         if self._transport is not None:
             self._transport.close()
+            self._transport = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # The event loop's own class is none of DatagramTransport, so there is nothing to check.
@@ -61,7 +77,8 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         number = self._numbers.get((addr[0], addr[1]))
         if number is None or number == self._me or len(data) > MOST_BYTES:
-            return  # not from a sidecar of the tier
+            self.strangers += 1
+            return
         self._on_message(number, data)
 
     def error_received(self, exc: Exception) -> None:
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -10,6 +10,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from magpiemux import Balancer
 from magpiemux.interface import (
@@ -43,7 +44,7 @@
     TimerFired,
 )
 from micadeck import discovery
-from micadeck.client import Address, ClientConnection, Message, Response
+from micadeck.client import ClientConnection, Message, Response
 from micadeck.clock import Clock
 from micadeck.config import Config
 from micadeck.console import MOST_CALLERS, Console
@@ -58,6 +59,9 @@
 from micadeck.telemetry import Telemetry
 from micadeck.upstream import Call, Upstream, load_report
 
+if TYPE_CHECKING:
+    from micadeck.members import Members
+
 _RESERVED = 48  # descriptors for everything but clients, servers and the operators' door
 _FOR_CLIENTS = 1 / 3  # of all, as the platform's terms allow at the most
 _FOR_CLIENTS_LEFT = 0.5  # and of what is not reserved, where that is less
@@ -131,8 +135,9 @@
             config.peers,
             config.peers_all,
             config.settings.me,
-            lambda number, payload: self._post(MessageReceived(number, payload)),
+            self._message_received,
         )
+        self._members: Members | None = None  # None: the others are not kept track of
 
     def _shares(self) -> tuple[int, int]:
         """How many connections this process may have to clients and to servers.
@@ -158,6 +163,7 @@
         """Take up the last known list, then listen."""
         if self._settings.limits.may_message and self._config.peer_listen is not None:
             await self._peers.listen(self._config.peer_listen, shared=self._held is not None)
+            self._keep_track(self._config)
         if self.console is not None and self._config.console is not None:
             await self.console.listen(self._config.console)
         self._upstream.listed(self._config.known)
@@ -171,9 +177,24 @@
         self._discovery.start()
         self.frontend.listen(self._held or bound(self._config.listen))
 
-    def move_discovery(self, address: Address) -> None:
-        """Discovery is at another address from now on."""
-        self._discovery.move(address)
+    def reconfigure(self, config: Config) -> None:
+        """Take over what may change while running: where discovery and the others are, and membership."""
+        self._discovery.move(config.discovery)
+        self._peers.move(config.peers, config.peers_all)
+        if self._peers.is_listening and self._stop_by is None:
+            self._keep_track(config)
+
+    def _keep_track(self, config: Config) -> None:
+        """Keep track of the other sidecars as the configuration says."""
+        if self._members is None:
+            if not config.membership.on:
+                return
+            # Not at the top: what it needs takes 2 MB, which a sidecar without it need not have.
+            from micadeck.members import Members
+
+            me, log = self._settings.me, self._log
+            self._members = Members(me, config.tier, config.seed, self._clock, self._peers, log)
+        self._members.configure(config.membership)
 
     @property
     def open_requests(self) -> int:
@@ -188,6 +209,12 @@
         left_s = longest_s + _KILLED_AFTER_S - _SPARE_S
         self._stop_by = self._clock.now() + int(left_s * 1e6)
         self.frontend.drain()
+        # Looked at anew: a successor may be younger than the last look.
+        has_successor = self._presence is not None and not self._presence.is_alone()
+        if self._members is not None:
+            self._members.leave(has_successor)
+        if has_successor:
+            self._peers.close()  # from here on all datagrams are the successor's
         if self._held is None:
             await self._hear_newcomers(began)
         # A socket that the platform holds goes on queueing, and the successor accepts what comes.
@@ -223,6 +250,8 @@
         if self._presence is not None:
             self._presence.close()
         self._discovery.close()
+        if self._members is not None:
+            self._members.close()
         self._peers.close()
         self._upstream.close()
         self.frontend.stop_listening()
@@ -237,7 +266,9 @@
         members, unavailable = self._balancer.members()
         uploads = (each.incoming.upload for each in self._open.values() if each.client is not None)
         arriving = sum(upload is not None and not upload.is_whole for upload in uploads)
-        return self._telemetry.figures(self._owed - arriving, members, unavailable)
+        figures = self._telemetry.figures(self._owed - arriving, members, unavailable)
+        membership = self._members.figures() if self._members is not None else None
+        return figures if membership is None else {**figures, "membership": membership}
 
     def exclude(self, member: str) -> bool:
         """Send nothing more to a server; no if it was never listed."""
@@ -315,6 +346,16 @@
         if isinstance(event, (RequestArrived, AttemptEnded)):
             self._answer(event.request, 500, [])
 
+    def _message_received(self, sender: int, payload: bytes) -> None:
+        """A datagram from another sidecar: membership's while that is on, else the decisions'."""
+        if self._members is None or self._members.membership is None:
+            self._post(MessageReceived(sender, payload))
+            return
+        try:
+            self._members.heard(sender, payload)
+        except Exception as fault:
+            self._log(f"internal error: {fault!r} (membership)")
+
     def _listed(self, listing: discovery.Listing) -> None:
         self._upstream.listed(listing)
         self._post(listing.event())
@@ -328,6 +369,8 @@
         self._next_request += 1
         self._open[number] = _Open(client, incoming)
         self._owed += 1
+        if self._members is not None:
+            self._members.requests += 1
         if most is not None and self._owed > most:
             self._answer(number, 503, [])
             return None
--- a/plumtrestle/emulator/copies.py
+++ b/plumtrestle/emulator/copies.py
@@ -182,6 +182,7 @@
         }
         if self._day.sidecars.datagrams:
             self.config |= {
+                "membership": self._day.sidecars.membership,
                 "peer_listen": _text(self.peer_listen),
                 "peers": peers,
                 "peers_all": everyone,
@@ -219,10 +220,12 @@
             environment[f"BALANCER_{key.upper()}"] = config[key]
         descriptors: tuple[int, ...] = ()
         door: tuple[str, int] | None = None
-        if self._held is not None:
+        if self._day.sidecars.console:
             door = (self.listen[0], _free_port(self.listen[0], socket.SOCK_STREAM))
+            environment["BALANCER_CONSOLE"] = _text(door)
+        if self._held is not None:
             descriptors = (self._held.fileno(),)
-            environment |= {"BALANCER_CONSOLE": _text(door), "BALANCER_SOCKET_FD": str(descriptors[0])}
+            environment["BALANCER_SOCKET_FD"] = str(descriptors[0])
         ordinary = any(each.kind == "read_only" for each in self._day.troubles)
         process = Process(
             self._worded(),
@@ -290,6 +293,7 @@
                     pending=int(given["pending"]),
                     members=int(given["members"]),
                     unavailable=int(given["members_unavailable"]),
+                    tier=_plain(given.get("membership")),
                 )
             )
 
@@ -380,6 +384,13 @@
             self._held.close()
 
 
+def _plain(membership: Any) -> dict[str, str]:
+    """What is believed of the tier, as the log holds it."""
+    if not isinstance(membership, dict):
+        return {}
+    return {key: str(membership[key]) for key in ("view", "life", "doubled", "in_minority")}
+
+
 def _text(address: tuple[str, int]) -> str:
     return f"{address[0]}:{address[1]}"
 
--- a/plumtrestle/emulator/play.py
+++ b/plumtrestle/emulator/play.py
@@ -244,7 +244,7 @@
         self._writer.write(log.Finished(at=max(self._clock.now(), self._day.length_us)))
 
     async def _ask_figures(self) -> None:
-        while self._day.sidecars.operated:
+        while self._day.sidecars.console:
             await asyncio.gather(*(each.figures() for each in self._copies))
             await asyncio.sleep(_FIGURES_EVERY_S)
 
--- a/plumtrestle/report/page.py
+++ b/plumtrestle/report/page.py
@@ -58,6 +58,9 @@
     drawn = [plots.over_time(days)]
     if len(rates) > 1:
         drawn.append(_by_rate(results))
+    seen = days[0][1].get("tier", {})
+    if seen:
+        drawn.append(plots.who_sees_whom(seen, len(days[0][1]["served"]) * days[0][1]["bin_us"] / 1e6))
     notes = [f"The plots are of seed {seed}, at {at:g} times the world's rate.", *_breaches(here)]
     return _World(f"{name} ({engine})", compared(here), notes, drawn)
 
--- a/plumtrestle/report/plots.py
+++ b/plumtrestle/report/plots.py
@@ -8,7 +8,9 @@
 
 import matplotlib
 from matplotlib.axes import Axes
+from matplotlib.colors import ListedColormap
 from matplotlib.figure import Figure
+from matplotlib.patches import Patch
 
 matplotlib.rcParams.update(
     {
@@ -62,6 +64,38 @@
     own.set_ylabel(f"servers listed,\neach copy ({name})", rotation=0, ha="right", va="center")
 
 
+_SNAPSHOTS = 8
+_BELIEFS = {"p": "#2f7d4f", "s": "#e0a030", "?": "#d9d9d9", "l": "#7a8ca8", "d": "#a5251c"}
+_NAMES = {"p": "present", "s": "suspected", "?": "unknown", "l": "left", "d": "dead"}
+
+
+def who_sees_whom(seen: dict[str, list[tuple[float, str]]], length_s: float) -> str:
+    """A map at each of eight times: a row for each copy that looks, a column for each that is seen."""
+    copies = sorted(seen, key=int)
+    times = [length_s * (place + 1) / _SNAPSHOTS for place in range(_SNAPSHOTS)]
+    figure = Figure(figsize=(9.0, 5.2), layout="constrained")
+    letters = list(_BELIEFS)
+    colours = ListedColormap(list(_BELIEFS.values()))
+    for own, at in zip(figure.subplots(2, _SNAPSHOTS // 2).flat, times, strict=True):
+        views = [_view_at(seen[copy], at) for copy in copies]
+        width = max(map(len, views))
+        cells = [[letters.index(letter) for letter in view.ljust(width, "?")] for view in views]
+        own.imshow(cells, cmap=colours, vmin=0, vmax=len(letters) - 1, interpolation="nearest")
+        own.set_title(f"{at:.1f} s", fontsize=9)
+        own.grid(False)
+        own.set_xticks([])
+        own.set_yticks([])
+    patches = [Patch(color=colour, label=_NAMES[letter]) for letter, colour in _BELIEFS.items()]
+    figure.legend(handles=patches, loc="outside lower center", ncols=len(patches), frameon=False)
+    figure.suptitle("who sees whom: a row for each copy that looks, a column for each member", fontsize=9)
+    return _svg(figure)
+
+
+def _view_at(looks: list[tuple[float, str]], at: float) -> str:
+    """The last look up to a time; before the first, nothing is known."""
+    return next((view for when, view in reversed(looks) if when <= at), "?" * len(looks[0][1]))
+
+
 def _seconds(series: dict[str, Any]) -> list[float]:
     return [place * series["bin_us"] / 1e6 for place in range(len(series["served"]))]
 
--- a/plumtrestle/rules/series.py
+++ b/plumtrestle/rules/series.py
@@ -9,6 +9,7 @@
 
 from plumtrestle.events import Event
 from plumtrestle.rules.history import History, gather
+from plumtrestle.rules.tier import looks
 
 _MOST_BINS = 240
 _LEAST_BIN_US = 100_000
@@ -27,6 +28,7 @@
     cold: list[float]  # and at cold ones
     unavailable: list[float]  # servers that a copy avoids, on average over copies that say so
     members: dict[str, list[float]]  # servers listed, as each copy has it
+    tier: dict[str, list[tuple[float, str]]]  # by copy, what it believed of all members, as it changed
     troubles: list[tuple[str, float, float]]  # kind, begin and end in seconds
 
 
@@ -50,10 +52,20 @@
         cold=_plain(cold),
         unavailable=_plain(unavailable),
         members=members,
+        tier=_tier(history),
         troubles=[(each.kind, each.at_us / 1e6, each.until_us / 1e6) for each in history.day.troubles],
     )
 
 
+def _tier(history: History) -> dict[str, list[tuple[float, str]]]:
+    out: dict[str, list[tuple[float, str]]] = {}
+    for look in looks(history):
+        own = out.setdefault(str(look.copy), [])
+        if not own or own[-1][1] != look.view:
+            own.append((look.at / 1e6, look.view))
+    return out
+
+
 def _plain(values: np.ndarray) -> list[float]:
     return [round(float(each), 3) for each in values]
 
--- a/plumtrestle/world/day.py
+++ b/plumtrestle/world/day.py
@@ -70,6 +70,8 @@
 class Sidecars(Plain, frozen=True):
     attempts: int
     datagrams: bool
+    membership: dict[str, bool | float]
+    console: bool  # operated, or without a socket that the platform holds
     operated: bool
     keeps_folder: bool
     memory_mb: int
--- a/plumtrestle/world/draw.py
+++ b/plumtrestle/world/draw.py
@@ -140,6 +140,8 @@
     return day.Sidecars(
         attempts=figures.whole("sidecars.attempts", given.attempts),
         datagrams=given.datagrams,
+        membership=given.membership,
+        console=given.console or given.operated,
         operated=given.operated,
         keeps_folder=given.folder == "kept",
         memory_mb=figures.whole("sidecars.memory_mb", given.memory_mb),
--- a/plumtrestle/world/schema.py
+++ b/plumtrestle/world/schema.py
@@ -93,7 +93,9 @@
     uneven: Annotated[Figure, _bounded(1.0, 100.0)] = 1.0  # the busiest gets so many times the mean
     attempts: Annotated[Figure, _bounded(1, 16)] = 4.0  # for one request
     datagrams: bool = True  # whether they may send to each other
-    operated: bool = False  # with a door for operators, and a listening socket that the platform holds
+    membership: dict[str, bool | float] = {}  # of the configuration, as it is
+    console: bool = False  # with a door for operators
+    operated: bool = False  # with that, and a listening socket that the platform holds
     folder: Literal["kept", "fresh"] = "kept"  # at a restart
     memory_mb: Annotated[Figure, _bounded(32, 4_096)] = 192.0
     sockets: Annotated[Figure, _bounded(64, 65_536)] = 1_024.0
--- /dev/null
+++ b/tests/test_members_real.py
@@ -0,0 +1,82 @@
+"""Membership among real copies of the program, with faults between them."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+from test_emulator import GENEROUS_US, ground, read_small
+from test_ground import a_day, trouble
+
+from plumtrestle import events as log
+from plumtrestle.emulator.play import play as play_day
+from plumtrestle.rules import judge
+from plumtrestle.rules.history import History, gather
+from plumtrestle.rules.tier import Agreement, agreement, looks
+from plumtrestle.world import Day, draw, read
+
+QUICK = "\n[sidecars.membership]\nleast_period_ms = 200\nsuspicion_periods = 1.0\n"
+
+
+def played(day: Day, folder: Path) -> History:
+    events = log.load(asyncio.run(play_day(day, ground(folder))))
+    verdict = judge(events, slack_us=GENEROUS_US)
+    assert verdict.breaches == () and verdict.is_whole
+    return gather(events)
+
+
+def small(count: int, seconds: int, more: str = "console = true") -> str:
+    base = (
+        read_small()
+        .replace("seconds = 1", f"seconds = {seconds}")
+        .replace("rate_per_s = 20", "rate_per_s = 300")
+    )
+    return base.replace("count = 1", "count = 4").replace("count = 2", f"count = {count}\n{more}{QUICK}")
+
+
+def test_seven_copies_cut_killed_paused_and_restarted_agree_in_the_end(tmp_path: Path) -> None:
+    history = played(draw(read("seven-copies"), 1), tmp_path)
+    found = agreement(history)
+    assert found.wrongly_dead == ()
+    assert found.at is not None
+    cut = [each for each in looks(history) if each.copy == 0 and 1_000_000 < each.at < 7_000_000]
+    assert any(set(each.view[3:]) & {"s", "d"} for each in cut)  # the others are missed
+    dead = [each for each in looks(history) if each.view[5] == "d" and each.copy != 5]
+    assert {each.copy for each in dead} >= {0, 1}  # and the killed one is found out
+
+
+def test_an_upgrade_is_one_member_with_two_lives_and_nobody_is_called_dead(tmp_path: Path) -> None:
+    history = played(
+        a_day(trouble("upgrade", 2, 0, who=["copy:0"]), small(3, 7, "operated = true")), tmp_path
+    )
+    assert agreement(history).at is not None
+    assert not [each for each in looks(history) if each.copy != 0 and each.view[0] in "dl"]
+    lives = {each.tier["life"] for each in history.figures if each.copy == 0}
+    assert len(lives) == 2
+
+
+def test_datagrams_forbidden_leave_membership_off(tmp_path: Path) -> None:
+    history = played(a_day("", small(2, 1, "console = true\ndatagrams = false")), tmp_path)
+    assert history.figures and not looks(history) and not history.datagrams
+
+
+def test_switched_off_nothing_is_sent(tmp_path: Path) -> None:
+    base = small(2, 1).replace("least_period_ms = 200", "on = false")
+    history = played(a_day("", base), tmp_path)
+    assert history.figures and not looks(history) and not history.datagrams
+
+
+def test_agreement_is_read_from_the_figures_alone() -> None:
+    def day(views: list[tuple[int, int, str]]) -> Agreement:
+        events: list[log.Event] = [log.Began(at=log.BEFORE, day=a_day("", small(2, 1)), engine="x")]
+        events += [log.Copy(at=0, copy=copy, life=1, what="ready") for copy in (0, 1)]
+        events += [
+            log.Figures(at=at, copy=copy, life=1, pending=0, members=0, unavailable=0, tier={"view": view})
+            for at, copy, view in views
+        ]
+        return agreement(gather(events))
+
+    assert day([(1, 0, "pp"), (2, 1, "pp"), (3, 0, "pp")]).at == 2
+    assert day([(1, 0, "pp"), (2, 1, "pd"), (3, 0, "pp")]).at is None
+    assert day([(1, 0, "pd"), (2, 1, "pd")]).wrongly_dead == ((0, 1), (1, 1))
+    assert day([(1, 0, "pp")]).at is None
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -254,6 +254,7 @@
         peers: dict[str, Any] = {
             "peer_listen": f"{own[0]}:{own[1]}",
             "peers": [f"{own[0]}:{own[1]}", f"{other[0]}:{other[1]}"],
+            "membership": {"on": False},
         }
         async with stage(OK, given=peers, bounds={"mayTell": True}) as scene:
             (await scene.client()).send(request())
