Have the log line of a process that stood still read as on its page

The page for on-call staff says 'doubts its own sight for now', the line said it in other words; the test that holds the two together found it. No other change.

--- a/micadeck/members.py
+++ b/micadeck/members.py
@@ -147,9 +147,7 @@
                 case Doubled():
                     self._log(f"another process claims this sidecar's number {action.member}: look for it")
                 case Slept():
-                    self._log(
-                        f"stood still for {action.late_us / 1e6:.1f} s: trusts its own sight less for now"
-                    )
+                    self._log(f"stood still for {action.late_us / 1e6:.1f} s: doubts its own sight for now")
         membership = self.membership
         if membership is not None:
             size = membership.size()
