Let the decisions follow how many balancers are there, within a factor of one and a half

Change: TierSized in interface.py, off unless sent; the sidecar sends it when the number that may be there changes (suspected and unknown ones count, so a start changes nothing). The module takes the part present, at least 0.67, into the first wait for discovery, the filling of a cold server's budget and the allowance for trials. `membership.informs` switches it off. Not taken: telling the number seen for certain, by which a tier that starts would take itself for small; no bound below, by which a copy cut off alone would send forty times its part to a cold server.

--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -41,6 +41,7 @@
     ServiceClass,
     SetTimer,
     Settings,
+    TierSized,
     TimerFired,
 )
 
@@ -54,6 +55,7 @@
 TICKS_EARLY = 2  # a final answer leaves this many ticks before the client's time is up
 COLD_SHARE = 0.5  # part of the pushing-over load that a cold server's budget fills at
 COLD_BURST = 0.18  # part of that load that may come at once
+PRESENT_LEAST = 0.67  # part of the tier taken to be there at least: a wrong view costs a factor of 1.5
 RATE_SPANS = 2.0  # rates are averaged over this many fall times
 ASK_AGAIN = 0.05  # first wait before asking discovery again, of the time allowed without asking
 ASK_AGAIN_EACH = 0.01  # or this for each balancer of the tier, where that is more
@@ -291,6 +293,7 @@
         self._agenda_order = 0
         self._timer_due: int | None = None
         self._begun = False
+        self._present = 1.0  # part of the tier's balancers that are there
         self._failed_calls = 0
         self._ask_due: int | None = None  # when discovery is asked next; None while the list is followed
         self._pending = 0  # attempts out
@@ -353,6 +356,8 @@
                 self._exclude(event.server)
             case ServerIncluded():
                 self._include(event.server)
+            case TierSized():
+                self._present = min(max(event.present / max(event.configured, 1), PRESENT_LEAST), 1.0)
             case _:
                 pass  # probes and messages: none are sent, so none are awaited
         self._arm_timer()
@@ -392,7 +397,7 @@
         queue, so that nobody gets through.
         """
         allowed = self._settings.rules.ask_within_us
-        first = max(ASK_AGAIN, ASK_AGAIN_EACH * self._settings.group_size)
+        first = max(ASK_AGAIN, ASK_AGAIN_EACH * self._settings.group_size * self._present)
         most = max(ASK_AGAIN_MOST, min(2.0 * first, ASK_AGAIN_LONGEST))
         wait = min(first * 2**self._failed_calls, most) * allowed
         self._failed_calls = min(self._failed_calls + 1, 8)
@@ -509,7 +514,7 @@
             kind = ServiceClass(event.service_class, max(event.remaining_us, 1), max(event.remaining_us, 1))
         self._arrivals.add(self._now, 1.0)
         self._extra = min(self._extra + EXTRA_PER_REQUEST, EXTRA_PER_REQUEST * EXTRA_SAVED)
-        self._trials = min(self._trials + TRIALS_PER_REQUEST, TRIALS_SAVED)
+        self._trials = min(self._trials + TRIALS_PER_REQUEST / self._present, TRIALS_SAVED)
         cost = self._relative_cost(kind, event.cost_us)
         request = Request(event.request, kind, self._now + ARRIVAL_US, cost, event.arriving)
         self._requests[event.request] = request
@@ -1246,7 +1251,7 @@
             bearable *= min(server.nominal / self._mean_size, 1.0)
         limit = rules.fall_multiple * self._warmth(server) * bearable
         most = max(1.0, COLD_BURST * limit * rules.fall_us)
-        filled = COLD_SHARE * limit * max(self._now - server.allowance_at, 0)
+        filled = COLD_SHARE / self._present * limit * max(self._now - server.allowance_at, 0)
         server.allowance = min(server.allowance + filled, most)
         server.allowance_at = self._now
         return server.allowance >= min(cost, most)
--- a/magpiemux/interface.py
+++ b/magpiemux/interface.py
@@ -518,6 +518,20 @@
     server: str
 
 
+@dataclass(slots=True)
+class TierSized:
+    """How many balancers of the tier are believed to be there, this one included; never sent: as configured.
+
+    `present` counts those that may be there (suspected and never heard of as well), `certain` just those
+    that answered; `in_minority`: no more than half of those that did not leave by their own word are seen.
+    """
+
+    configured: int
+    present: int
+    certain: int
+    in_minority: bool = False
+
+
 @dataclass(slots=True)
 class MessageReceived:
     """A message from another balancer of the tier."""
@@ -537,6 +551,7 @@
     | ProbeEnded
     | ServerExcluded
     | ServerIncluded
+    | TierSized
     | MessageReceived
 )
 
--- a/micadeck/members.py
+++ b/micadeck/members.py
@@ -49,10 +49,12 @@
         self._changes: list[str] = []
         self._saying: asyncio.TimerHandle | None = None
         self._size: Size | None = None
+        self._informs = True
 
     def configure(self, settings: MembershipSettings) -> None:
         """Be on or off, with these settings and the peers that there are now."""
         size, now = self._peers.size, self._clock.now()
+        self._informs = settings.informs
         if not settings.on or not 0 <= self._me < size:
             self.leave()
         elif self.membership is None:
@@ -153,7 +155,8 @@
             size = membership.size()
             if size != self._size:
                 self._size = size
-                self._on_size(size)
+                if self._informs:
+                    self._on_size(size)
 
     def _wake_at(self, at: int) -> None:
         if self._timer is not None:
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -41,6 +41,7 @@
     ServersListed,
     SetTimer,
     Tell,
+    TierSized,
     TimerFired,
 )
 from micadeck import discovery
@@ -61,6 +62,7 @@
 
 if TYPE_CHECKING:
     from micadeck.members import Members
+    from micadeck.tier.view import Size
 
 _RESERVED = 48  # descriptors for everything but clients, servers and the operators' door
 _FOR_CLIENTS = 1 / 3  # of all, as the platform's terms allow at the most
@@ -137,6 +139,7 @@
             config.settings.me,
             self._message_received,
         )
+        self._told_size: TierSized | None = None
         self._members: Members | None = None  # None: the others are not kept track of
 
     def _shares(self) -> tuple[int, int]:
@@ -184,6 +187,13 @@
         if self._peers.is_listening and self._stop_by is None:
             self._keep_track(config)
 
+    def _tier_sized(self, size: Size) -> None:
+        """The others' number is told to the decisions where it changed."""
+        told = TierSized(size.configured, size.high, size.low, size.in_minority)
+        if told != self._told_size:
+            self._told_size = told
+            self._post(told)
+
     def _keep_track(self, config: Config) -> None:
         """Keep track of the other sidecars as the configuration says."""
         if self._members is None:
@@ -193,7 +203,9 @@
             from micadeck.members import Members
 
             me, log = self._settings.me, self._log
-            self._members = Members(me, config.tier, config.seed, self._clock, self._peers, log)
+            self._members = Members(
+                me, config.tier, config.seed, self._clock, self._peers, log, self._tier_sized
+            )
         self._members.configure(config.membership)
 
     @property
--- a/micadeck/tier/settings.py
+++ b/micadeck/tier/settings.py
@@ -22,6 +22,7 @@
     """Whether and how this sidecar keeps track of the others."""
 
     on: bool = True  # only where the platform's settings allow datagrams
+    informs: bool = True  # whether the decisions hear how many are there
     datagrams_per_s: float = 1.0  # sent at rest, on average
     datagrams_per_request: float = 0.05  # and for each request taken
     least_period_ms: int = 1_000  # between two questions, however many requests there are
@@ -46,7 +47,7 @@
 
 
 def _checked(key: str, value: object, whole: bool) -> bool | int | float:
-    if key == "on":
+    if key in ("on", "informs"):
         if not isinstance(value, bool):
             raise ValueError(f"{key}: true or false is needed, not {value!r:.60}")
         return value
--- /dev/null
+++ b/tests/test_tier_sized.py
@@ -0,0 +1,92 @@
+"""What the decisions make of how many balancers there are: bounded, and nothing where nobody says so."""
+
+from __future__ import annotations
+
+import itertools
+
+from helpers import MS, Stage, names, settings
+
+from magpiemux.interface import Follow, ListedServer, ListKind, Outcome, ServersListed, TierSized
+
+TIER = 40
+
+
+def waits(told: TierSized | None) -> float:
+    """The mean wait between calls to discovery that fail, over many balancers."""
+    found: list[int] = []
+    for seed in range(30):
+        stage = Stage(settings(group_size=TIER), seed=seed)
+        if told is not None:
+            stage.play(told)
+        stage.servers(names(3))
+        asked = []
+        for _ in range(5):
+            stage.play(ServersListed(ListKind.FAILED))
+            before = len(stage.said(Follow))
+            while len(stage.said(Follow)) == before:
+                stage.wait(50 * MS)
+            asked.append(stage.now)
+        found += [later - earlier for earlier, later in itertools.pairwise(asked)]
+    return sum(found) / len(found)
+
+
+def sent_to_cold(told: TierSized | None) -> int:
+    """How much a server that has just started gets of steady traffic."""
+    total = 0
+    for seed in range(8):
+        stage = Stage(settings(), seed=seed)
+        stage.servers(names(5))
+        stage.serve(300)
+        if told is not None:
+            stage.play(told)
+        cold = ListedServer(names(5)[0], zone="east", started_at=stage.now)
+        stage.servers([cold], ListKind.CHANGES)
+        before = len(stage.log)
+        stage.serve(100)
+        total += sum(getattr(each, "server", None) == cold.server for _, each in stage.log[before:])
+    return total
+
+
+def trials(told: TierSized | None) -> int:
+    """How many requests try servers that are ejected and stay lost."""
+    total = 0
+    for seed in range(6):
+        stage = Stage(settings(), seed=seed)
+        lost = names(12)[:6]
+        if told is not None:
+            stage.play(told)
+        stage.servers(names(12))
+        for _ in range(400):
+            stage.wait(50 * MS)
+            number = stage.request()
+            while stage.sends(number):
+                if stage.target(number) not in lost:
+                    stage.end(number)
+                    break
+                total += 1
+                before = len(stage.sends(number))
+                stage.end(number, Outcome.DIAL_FAILED)
+                if len(stage.sends(number)) == before:
+                    break
+    return total
+
+
+def test_never_told_or_told_of_all_is_the_same() -> None:
+    everybody = TierSized(TIER, TIER, TIER)
+    assert waits(None) == waits(everybody)
+    assert sent_to_cold(None) == sent_to_cold(everybody)
+
+
+def test_fewer_present_ask_sooner_send_more_to_the_cold_and_try_more_often() -> None:
+    few = TierSized(TIER, TIER * 3 // 4, TIER * 3 // 4)
+    assert waits(few) < 0.9 * waits(None)
+    assert sent_to_cold(few) > sent_to_cold(None)
+    assert trials(few) >= trials(None)
+
+
+def test_a_wrong_view_costs_at_most_a_factor_of_one_and_a_half() -> None:
+    nobody = TierSized(TIER, 1, 1, in_minority=True)
+    assert waits(nobody) >= waits(None) / 1.6
+    assert sent_to_cold(None) < sent_to_cold(nobody) <= 1.6 * sent_to_cold(None)
+    assert waits(TierSized(0, 0, 0)) >= waits(None) / 1.6
+    assert waits(TierSized(TIER, 10 * TIER, 0)) == waits(None)
