End an endless look at an overdue attempt whose aim is an odd number of microseconds

Seen: processor time 1.00 in a second, memory growing, from 23.9 s to the end.

Change: rounded up, one line; a test in a process of its own, seen to hang without it. Not taken: counting looks at one instant, which would hide the next such fault.

--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -1070,9 +1070,10 @@
             if self._cores is not None:
                 self._follow_cores(1.0)  # no answer, no report: reports alone flatter
             self._feel(LOST_SPENT)
-        enough = max(SILENCE * self._patience(request, server), SILENT_AIMS * request.kind.aim_us)
+        # Whole microseconds: of a fraction, the timer set for it fell due before it, and again at once.
+        enough = math.ceil(max(SILENCE * self._patience(request, server), SILENT_AIMS * request.kind.aim_us))
         if silent and waited < enough:
-            self._schedule(attempt.sent_at + int(enough), request.ident, attempt.index)
+            self._schedule(attempt.sent_at + enough, request.ident, attempt.index)
         elif (
             silent and server.ejected_until is None and self._answers - attempt.answers_before >= QUIET_PEERS
         ):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 import itertools
+import os
+import subprocess
+import sys
+from pathlib import Path
 
 import pytest
 from helpers import MS, START, S, Stage, names, settings
@@ -447,3 +451,25 @@
         assert min(waits) > 0 and max(waits) <= 400 * MS
     else:
         assert waits == {0}
+
+
+# The same word at the same microsecond
+
+ODD_AIMS = """
+from helpers import MS, SAFE, UNSAFE, Stage, names, settings
+for seed in range(12):
+    look = {**SAFE, "aim_us": 500 * MS + 2 * seed + 1}
+    stage = Stage(settings(classes=[look, UNSAFE]), seed=seed)
+    stage.servers(names(5))
+    stage.serve(400, taking_us=20 * MS)
+    for _ in range(3):
+        stage.request()
+    stage.wait(900 * MS)
+"""
+
+
+def test_a_timer_that_fires_on_its_microsecond_ends_where_the_aim_is_odd() -> None:
+    # In a process of its own: a decision that never ends can't be stopped from within.
+    path = os.pathsep.join([str(Path(__file__).parent), *(each for each in sys.path if each)])
+    environment = {**os.environ, "PYTHONPATH": path}
+    subprocess.run([sys.executable, "-P", "-c", ODD_AIMS], env=environment, check=True, timeout=90)
