--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 
-.PHONY: setup test lint check native-check bench bench-ground fuzz
+.PHONY: setup test lint check native-check bench bench-ground fuzz explore membership
 
 FUZZ_S ?= 60
 
@@ -36,8 +36,18 @@
 bench-ground: setup
 	$(BIN)/python -m bench.ground
 
-# The codec against h11, guided by coverage, for FUZZ_S seconds; findings are left in build/.
+# The codec against h11, and membership's datagrams, guided by coverage, for FUZZ_S seconds each; findings are left in build/.
 fuzz: setup
 	$(BIN)/pip install -q --disable-pip-version-check atheris==3.0.0
 	mkdir -p build/fuzz
 	$(BIN)/python fuzz/fuzz_codec.py -max_total_time=$(FUZZ_S) -artifact_prefix=build/ build/fuzz fuzz/corpus
+	mkdir -p build/fuzz-tier
+	$(BIN)/python fuzz/fuzz_tier.py -max_total_time=$(FUZZ_S) -artifact_prefix=build/ build/fuzz-tier
+
+# Every order of a few events among three members of the tier, deeper than the tests go.
+explore: setup
+	$(BIN)/python -c 'from plumtrestle.tier.explore import explore; print(explore(4, 2, heal_every=3))'
+
+# What membership costs and how quickly it finds out: tables, and the plot of docs/membership.md.
+membership: setup
+	$(BIN)/python -m plumtrestle.tier.measure
--- /dev/null
+++ b/fuzz/fuzz_tier.py
@@ -0,0 +1,44 @@
+"""Coverage-guided fuzzing of membership's datagrams: `make fuzz`.
+
+An input is a row of datagrams, each behind a byte for its sender and one for its length.  Whatever comes,
+there is no exception and no growth, and what is not well formed changes nothing.
+"""
+
+import random
+import sys
+from pathlib import Path
+
+import atheris
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path[:0] = [str(ROOT)]
+
+with atheris.instrument_imports(include=["micadeck.tier"]):
+    from micadeck.tier.membership import Membership
+    from micadeck.tier.settings import MembershipSettings
+
+SIZE = 5
+
+
+def one(data: bytes) -> None:
+    """Play one input; an exception is a finding."""
+    member = Membership(0, SIZE, "a", MembershipSettings(), random.Random(1), 0, 1.8e9)
+    member.start(0)
+    now = 0
+    while len(data) > 2:
+        sender, length = data[0] % (SIZE + 1), data[1]
+        payload, data = data[2 : 2 + length], data[2 + length :]
+        now += 50_000
+        before, dropped = [each.claim for each in member.table.members], member.dropped.total()
+        out = member.heard(now, sender, payload)
+        if member.dropped.total() > dropped and not out:
+            assert [each.claim for each in member.table.members] == before, payload
+        assert len(member.table) == SIZE and len(member.dropped) <= 8 and len(member._suspicions) < SIZE
+        assert len(member._post.gossip) <= SIZE and len(member._questions._relayed) <= 32
+        assert all(len(getattr(each, "payload", b"")) <= 256 for each in out)
+        member.tick(now + 20_000)
+
+
+if __name__ == "__main__":
+    atheris.Setup(sys.argv, one)
+    atheris.Fuzz()
--- a/micadeck/tier/membership.py
+++ b/micadeck/tier/membership.py
@@ -181,6 +181,11 @@
         self._targets.forget()
         return self._done(now)
 
+    def settle(self) -> None:
+        """Nothing known here is news to anybody: as after a long rest."""
+        self._post.gossip.drop(0)
+        self._post.differs = False
+
     # What is believed
 
     def size(self) -> Size:
--- a/plumtrestle/tier/virtual.py
+++ b/plumtrestle/tier/virtual.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterable
 
 from micadeck.tier.membership import Membership
-from micadeck.tier.message import State
+from micadeck.tier.message import Claim, State
 from micadeck.tier.settings import MembershipSettings
 from micadeck.tier.view import Action, Datagram, Doubled, News, Slept, Wake
 from plumtrestle.model.queue import Queue
@@ -99,8 +99,9 @@
         settings: MembershipSettings | None = None,
         name: str = "a",
         start: Iterable[int] | None = None,
+        is_known: bool = False,
     ) -> None:
-        """All of `start` begin at once; by default everybody does."""
+        """All of `start` begin at once; by default everybody does.  `is_known`: and they know each other."""
         self.size, self.loss, self.delay_us, self.name = size, loss, delay_us, name
         self.settings = settings or MembershipSettings()
         self.random = random.Random(seed)
@@ -115,6 +116,21 @@
         self.processes: dict[int, list[Process]] = {}
         for number in range(size) if start is None else start:
             self.start(number)
+        if is_known:
+            self._introduce()
+
+    def _introduce(self) -> None:
+        """Have everybody know everybody, as after a long rest; what was to be told of it is told."""
+        first, *others = [each[0].membership for each in self.processes.values()]
+        for number in self.alive:
+            life = self.of(number).life
+            first.table.take(Claim.of(number, life, State.PRESENT, 0, number), self.queue.now)
+        for each in others:
+            for own, known in zip(each.table.members, first.table.members, strict=True):
+                own.claim = known.claim
+            each.table.digest = first.table.digest
+        for each in (first, *others):
+            each.settle()
 
     # Who lives
 
