--- a/Makefile
+++ b/Makefile
@@ -36,13 +36,13 @@
 bench-ground: setup
 	$(BIN)/python -m bench.ground
 
-# The codec against h11, and membership's datagrams, guided by coverage, for FUZZ_S seconds each; findings are left in build/.
+# The codec against h11, then membership's datagrams, guided by coverage, FUZZ_S seconds each; finds go to build/
 fuzz: setup
 	$(BIN)/pip install -q --disable-pip-version-check atheris==3.0.0
 	mkdir -p build/fuzz
 	$(BIN)/python fuzz/fuzz_codec.py -max_total_time=$(FUZZ_S) -artifact_prefix=build/ build/fuzz fuzz/corpus
 	mkdir -p build/fuzz-tier
-	$(BIN)/python fuzz/fuzz_tier.py -max_total_time=$(FUZZ_S) -artifact_prefix=build/ build/fuzz-tier
+	$(BIN)/python fuzz/fuzz_tier.py -max_total_time=$(FUZZ_S) -artifact_prefix=build/ build/fuzz-tier fuzz/corpus-tier
 
 # Every order of a few events among three members of the tier, deeper than the tests go.
 explore: setup
--- a/micadeck/members.py
+++ b/micadeck/members.py
@@ -47,6 +47,7 @@
         self._clock, self._peers, self._log, self._on_size = clock, peers, log, on_size
         self._timer: asyncio.TimerHandle | None = None
         self._changes: list[str] = []
+        self._unnamed = 0  # changes beyond those that one line names
         self._saying: asyncio.TimerHandle | None = None
         self._size: Size | None = None
         self._informs = True
@@ -55,6 +56,8 @@
         """Be on or off, with these settings and the peers that there are now."""
         size, now = self._peers.size, self._clock.now()
         self._informs = settings.informs
+        if not (settings.on and settings.informs):
+            self._on_size(Size(size, size, 0, 0, 0, 0))  # from here on the decisions go by what is configured
         if not settings.on or not 0 <= self._me < size:
             self.leave()
         elif self.membership is None:
@@ -167,18 +170,20 @@
     # The log
 
     def _changed(self, what: str) -> None:
-        self._changes.append(what)
+        if len(self._changes) < _MOST_NAMED:
+            self._changes.append(what)
+        else:
+            self._unnamed += 1
         if self._saying is None:
             self._saying = asyncio.get_running_loop().call_later(_SAY_EVERY_S, self._say)
 
     def _say(self) -> None:
         self._saying = None
-        changes, self._changes = self._changes, []
+        named, self._changes = ", ".join(self._changes), []
+        more, self._unnamed = f" and {self._unnamed} more" if self._unnamed else "", 0
         size = self._size
         if size is None:
             return
-        named = ", ".join(changes[:_MOST_NAMED])
-        more = f" and {len(changes) - _MOST_NAMED} more" if len(changes) > _MOST_NAMED else ""
         counted = f"{size.present} of {size.configured} present"
         for name in ("suspected", "unknown", "dead", "left"):
             if getattr(size, name):
--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,120 @@
+"""Membership on loopback sockets: datagrams, timer, log lines and figures, and what SIGHUP changes."""
+
+from __future__ import annotations
+
+import socket
+from dataclasses import dataclass, field
+
+from loopback import HOST, play, until
+
+from micadeck.client import Address
+from micadeck.clock import Clock
+from micadeck.members import Members
+from micadeck.peers import Peers
+from micadeck.tier.settings import MembershipSettings
+from micadeck.tier.view import Size
+
+QUICK = MembershipSettings(least_period_ms=200)
+
+
+@dataclass
+class Copy:
+    """One copy's part: its members, what it logged and what its decisions were told."""
+
+    members: Members
+    peers: Peers
+    lines: list[str] = field(default_factory=list)
+    sizes: list[Size] = field(default_factory=list)
+
+    def figure(self, name: str) -> object:
+        figures = self.members.figures()
+        return None if figures is None else figures[name]
+
+
+def free(count: int) -> list[Address]:
+    held = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
+    for each in held:
+        each.bind((HOST, 0))
+    out: list[Address] = [each.getsockname() for each in held]
+    for each in held:
+        each.close()
+    return out
+
+
+async def copies(addresses: list[Address], count: int) -> list[Copy]:
+    out: list[Copy] = []
+    for me in range(count):
+        peers = Peers(tuple(addresses), None, me, lambda by, data, me=me: out[me].members.heard(by, data))  # type: ignore[misc]
+        lines: list[str] = []
+        sizes: list[Size] = []
+        members = Members(me, "0", me, Clock(), peers, lines.append, sizes.append)
+        out.append(Copy(members, peers, lines, sizes))
+        await peers.listen(addresses[me])
+    for each in out:
+        each.members.configure(QUICK)
+    return out
+
+
+def test_three_see_each_other_one_leaves_and_all_are_told() -> None:
+    async def work() -> None:
+        one, two, three = await copies(free(3), 3)
+        everybody = (one, two, three)
+        await until(lambda: all(each.figure("present") == 3 for each in everybody))
+        three.members.leave()
+        await until(lambda: one.figure("left") == two.figure("left") == 1)
+        assert three.members.figures() is None
+        assert one.sizes[-1].high == 2 and one.figure("view") == "ppl"
+        assert "member" in str(one.figure("absent"))
+        await until(lambda: any("2 left (by 2)" in line for line in one.lines))
+        for each in everybody:
+            each.members.close()
+            each.peers.close()
+
+    play(work)
+
+
+def test_switched_off_the_decisions_go_by_what_is_configured_again() -> None:
+    async def work() -> None:
+        one, two = await copies(free(2), 2)
+        await until(lambda: one.figure("present") == 2)
+        two.members.leave()
+        await until(lambda: one.sizes[-1].high == 1)
+        one.members.configure(MembershipSettings(on=False))
+        assert one.sizes[-1] == Size(2, 2, 0, 0, 0, 0) and one.members.figures() is None
+        for each in (one, two):
+            each.members.close()
+            each.peers.close()
+
+    play(work)
+
+
+def test_peers_may_change_while_it_runs() -> None:
+    async def work() -> None:
+        addresses = free(3)
+        one, two = await copies(addresses[:2], 2)
+        await until(lambda: one.figure("present") == 2)
+        for each in (one, two):
+            each.peers.move(tuple(addresses), None)
+            each.members.configure(QUICK)
+        assert one.figure("configured") == 3 and one.figure("unknown") == 1
+        for each in (one, two):
+            each.members.close()
+            each.peers.close()
+
+    play(work)
+
+
+def test_a_datagram_that_is_none_of_the_tiers_is_counted_by_its_reason() -> None:
+    async def work() -> None:
+        addresses = free(2)
+        (one,) = await copies(addresses, 1)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
+            stranger.sendto(b"hello", addresses[0])
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as other:
+            other.bind(addresses[1])
+            other.sendto(b"hello", addresses[0])
+            await until(lambda: one.figure("dropped") == {"malformed": 1, "a stranger": 1})
+        one.members.close()
+        one.peers.close()
+
+    play(work)
