--- a/tests/test_members_real.py
+++ b/tests/test_members_real.py
@@ -45,6 +45,12 @@
     assert {each.copy for each in dead} >= {0, 1}  # and the killed one is found out
 
 
+def test_seven_copies_with_every_trouble_of_datagrams_agree_in_the_end(tmp_path: Path) -> None:
+    found = agreement(played(draw(read("seven-strangers"), 1), tmp_path))
+    assert found.wrongly_dead == ()
+    assert found.at is not None
+
+
 def test_an_upgrade_is_one_member_with_two_lives_and_nobody_is_called_dead(tmp_path: Path) -> None:
     history = played(
         a_day(trouble("upgrade", 2, 0, who=["copy:0"]), small(3, 7, "operated = true")), tmp_path
