Count the tier's size only after a change, and keep one cache and one guard for it

Members and Sidecar each kept the last number to tell it once, and each caught defects of membership. Because of the former, `informs` switched off and on by SIGHUP left the decisions with what is configured until the next change.

The period is worked out for lateness over a second only; relays are chosen among Targets.others; is_doubled is asked in place of its field. In the virtual tier a table adopts another, and what nobody read is gone. Not taken: telling the size by News alone, which a member's own record changes without.

--- a/micadeck/members.py
+++ b/micadeck/members.py
@@ -37,9 +37,9 @@
         clock: Clock,
         peers: Peers,
         log: Callable[[str], None],
-        on_size: Callable[[Size], None] = lambda size: None,
+        on_size: Callable[[Size], None],
     ) -> None:
-        """`on_size` hears of each change of the tier's size."""
+        """`on_size` hears the tier's size after each event, whether it changed or not."""
         self.membership: Membership | None = None
         self.requests = 0  # taken since membership was told last
         self._me, self._tier = me, tier
@@ -49,7 +49,6 @@
         self._changes: list[str] = []
         self._unnamed = 0  # changes beyond those that one line names
         self._saying: asyncio.TimerHandle | None = None
-        self._size: Size | None = None
         self._informs = True
 
     def configure(self, settings: MembershipSettings) -> None:
@@ -69,15 +68,11 @@
 
     def heard(self, sender: int, payload: bytes) -> None:
         """A datagram from a member."""
-        membership = self.membership
-        if membership is not None:
-            self._work(membership)
-            self._carry_out(membership.heard(self._clock.now(), sender, payload))
+        self._play(lambda membership, now: membership.heard(now, sender, payload))
 
     def leave(self, has_successor: bool = False) -> None:
         """This process ends: say so, unless another goes on in its place."""
         membership, self.membership = self.membership, None
-        self._size = None
         if self._timer is not None:
             self._timer.cancel()
         if membership is not None:
@@ -126,19 +121,21 @@
 
     def _tick(self) -> None:
         self._timer = None
-        membership = self.membership
+        self._play(Membership.tick)
+
+    def _play(self, event: Callable[[Membership, int], list[Action]]) -> None:
+        """Bring an event to membership; live on after a defect in it."""
+        membership, now = self.membership, self._clock.now()
         if membership is None:
             return
-        self._work(membership)
+        requests, self.requests = self.requests, 0
         try:
-            self._carry_out(membership.tick(self._clock.now()))
+            membership.worked(now, requests)
+            self._carry_out(event(membership, now))
         except Exception as fault:
             self._log(f"internal error: {fault!r} (membership)")
-            self._wake_at(self._clock.now() + _AGAIN_US)
-
-    def _work(self, membership: Membership) -> None:
-        requests, self.requests = self.requests, 0
-        membership.worked(self._clock.now(), requests)
+            if self._timer is None:
+                self._wake_at(now + _AGAIN_US)
 
     def _carry_out(self, actions: list[Action]) -> None:
         for action in actions:
@@ -153,13 +150,8 @@
                     self._log(f"another process claims this sidecar's number {action.member}: look for it")
                 case Slept():
                     self._log(f"stood still for {action.late_us / 1e6:.1f} s: doubts its own sight for now")
-        membership = self.membership
-        if membership is not None:
-            size = membership.size()
-            if size != self._size:
-                self._size = size
-                if self._informs:
-                    self._on_size(size)
+        if self.membership is not None and self._informs:
+            self._on_size(self.membership.size())
 
     def _wake_at(self, at: int) -> None:
         if self._timer is not None:
@@ -181,9 +173,9 @@
         self._saying = None
         named, self._changes = ", ".join(self._changes), []
         more, self._unnamed = f" and {self._unnamed} more" if self._unnamed else "", 0
-        size = self._size
-        if size is None:
+        if self.membership is None:
             return
+        size = self.membership.size()
         counted = f"{size.present} of {size.configured} present"
         for name in ("suspected", "unknown", "dead", "left"):
             if getattr(size, name):
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -362,11 +362,8 @@
         """A datagram from another sidecar: membership's while that is on, else the decisions'."""
         if self._members is None or self._members.membership is None:
             self._post(MessageReceived(sender, payload))
-            return
-        try:
+        else:
             self._members.heard(sender, payload)
-        except Exception as fault:
-            self._log(f"internal error: {fault!r} (membership)")
 
     def _listed(self, listing: discovery.Listing) -> None:
         self._upstream.listed(listing)
--- a/micadeck/tier/membership.py
+++ b/micadeck/tier/membership.py
@@ -82,7 +82,7 @@
         self._targets = Targets(me, self.table, rng)
         self._heard_at = now  # when anybody was heard last
         self._next_ask = now
-        self._period_us = self._period(now)
+        self.period_us = self._period(now)  # between two questions, as of the last one
         self._wakes_at = now
         self._out: list[Action] = []
 
@@ -160,7 +160,7 @@
         """This life ends as planned: all are told at once, unless another goes on under its number."""
         if self._is_over:
             return []
-        if not has_successor and self._yields_until is None and len(self.table) > 1:
+        if not has_successor and not self.is_doubled and len(self.table) > 1:
             self._send(None, Kind.LEAVING, 0)
         self._is_over = True
         out, self._out = self._out, []
@@ -189,21 +189,7 @@
     # What is believed
 
     def size(self) -> Size:
-        counts = self.table.counts()
-        unknown = sum(each.is_unknown for each in self.table.members)
-        return Size(
-            configured=len(self.table),
-            present=counts[State.PRESENT] - unknown,
-            suspected=counts[State.SUSPECTED],
-            unknown=unknown,
-            dead=counts[State.DEAD],
-            left=counts[State.LEFT],
-        )
-
-    @property
-    def period_us(self) -> int:
-        """Between two questions, as of the last one."""
-        return self._period_us
+        return self.table.size()
 
     @property
     def is_doubled(self) -> bool:
@@ -317,7 +303,7 @@
 
     def _ask(self, now: int) -> None:
         """Ask the next member, in place of a question that has not ended."""
-        period = self._period_us = self._period(now)
+        period = self.period_us = self._period(now)
         self._next_ask = now + int(period * (0.9 + 0.2 * self._random.random()))
         if self._questions.own is not None or not self._budget.spend(now, 1):
             return
@@ -351,18 +337,18 @@
         self._take(now, Claim.of(own.target, member.claim.life, State.SUSPECTED, member.claim.round, self.me))
 
     def _ask_relays(self, now: int, own: Question) -> None:
-        others = [
-            number
-            for number, each in enumerate(self.table.members)
-            if number not in (self.me, own.target) and each.state is State.PRESENT and not each.is_unknown
-        ]
         if self.table[own.target].has_ended:
-            others = []  # it was asked in case it is back; nobody has to help
+            return  # it was asked in case it is back; nobody has to help
+        others = [each for each in self._targets.others() if each != own.target and self._can_relay(each)]
         for relay in self._random.sample(others, min(self._settings.relays, len(others))):
             if self._budget.spend(now, 1, owed=True):
                 own.relays.append(relay)
                 self._send(relay, Kind.ASK_FOR, own.number, own.target)
 
+    def _can_relay(self, number: int) -> bool:
+        member = self.table[number]
+        return member.state is State.PRESENT and not member.is_unknown
+
     def _ask_for(self, now: int, message: Message) -> None:
         target = message.target
         if not 0 <= target < len(self.table) or target in (self.me, message.sender):
@@ -413,7 +399,7 @@
     def _notice_sleep(self, now: int) -> None:
         """Whether this process stood still: then it suspects itself before anybody else."""
         late = now - self._wakes_at
-        if late <= max(_LATE_US, self._period(now)):
+        if late <= _LATE_US or late <= self._period(now):
             return
         self._out.append(Slept(late))
         self.health.slept()
--- a/micadeck/tier/table.py
+++ b/micadeck/tier/table.py
@@ -7,6 +7,7 @@
 from hashlib import blake2b
 
 from micadeck.tier.message import MOST_SKETCHED, Claim, State
+from micadeck.tier.view import Size
 
 _PACKED = struct.Struct("<HIB")  # member, life, state, for the digest alone
 
@@ -42,6 +43,7 @@
     def __init__(self, size: int, now: int) -> None:
         self.members: list[Member] = []
         self.digest = 0
+        self._size: Size | None = None  # None: to be counted
         self.resize(size, now)
 
     def __len__(self) -> int:
@@ -52,6 +54,7 @@
 
     def resize(self, size: int, now: int) -> None:
         """Hold so many members: what is beyond is forgotten, what is new was never heard of."""
+        self._size = None
         while len(self.members) > size:
             self.digest ^= _weight(self.members.pop().claim)
         while len(self.members) < size:
@@ -68,8 +71,15 @@
             member.rumour = None
         self.digest ^= _weight(member.claim) ^ _weight(claim)
         member.claim = claim
+        self._size = None
         return True
 
+    def adopt(self, other: Table) -> None:
+        """Believe what another table of this size does."""
+        for own, known in zip(self.members, other.members, strict=True):
+            own.claim = known.claim
+        self.digest, self._size = other.digest, None
+
     def sketch(self, first: int, salt: int, size: int = MOST_SKETCHED) -> bytes:
         """Half a byte for each of so many members from `first` on: equal where the belief is.
 
@@ -88,9 +98,20 @@
         told = zip(self.members[first:], halves, strict=False)
         return [member.claim for member, differs in told if differs and not member.is_unknown]
 
-    def counts(self) -> dict[State, int]:
-        marks = Counter(each.claim.mark & 3 for each in self.members)
-        return {state: marks[state] for state in State}
+    def size(self) -> Size:
+        """How many members are believed to be what; counted anew only where that has changed."""
+        if self._size is None:
+            marks = Counter(each.claim.mark & 3 for each in self.members)
+            unknown = sum(each.is_unknown for each in self.members)
+            self._size = Size(
+                configured=len(self.members),
+                present=marks[State.PRESENT] - unknown,
+                suspected=marks[State.SUSPECTED],
+                unknown=unknown,
+                dead=marks[State.DEAD],
+                left=marks[State.LEFT],
+            )
+        return self._size
 
 
 def _weight(claim: Claim, key: bytes = b"") -> int:
--- a/plumtrestle/tier/virtual.py
+++ b/plumtrestle/tier/virtual.py
@@ -6,11 +6,12 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from micadeck.tier.membership import Membership
 from micadeck.tier.message import Claim, State
 from micadeck.tier.settings import MembershipSettings
+from micadeck.tier.table import Table
 from micadeck.tier.view import Action, Datagram, Doubled, News, Slept, Wake
 from plumtrestle.model.queue import Queue
 
@@ -20,12 +21,22 @@
 Told = tuple[int, int, Action]  # at, by which member, what
 
 
+def agreed(tables: Mapping[int, Table]) -> bool:
+    """Whether all that live, by number, hold the same lives and ends, and just those that live present."""
+    if len({each.digest for each in tables.values()}) != 1:
+        return False
+    views = {bytes([each.claim.mark & 3 for each in table.members]) for table in tables.values()}
+    return len(views) == 1 and all(
+        each == State.PRESENT if number in tables else each >= State.DEAD
+        for number, each in enumerate(views.pop())
+    )
+
+
 class Process:
     """One process of a member."""
 
     def __init__(self, tier: VirtualTier, number: int, size: int, ahead_s: float) -> None:
         self.number = number
-        self.began = tier.queue.now
         self.is_alive = True
         self.late_us = 0  # each of its datagrams and ticks takes so much longer: starved of its processor
         self._tier = tier
@@ -107,7 +118,6 @@
         self.random = random.Random(seed)
         self.queue = Queue()
         self.told: list[Told] = []
-        self.delivered = 0
         self.double = 0.0
         self.late = 0.0  # part of the datagrams that come up to a second late, out of order
         # Whether a datagram from one to another is lost to a cut now, and until when one is held back.
@@ -126,9 +136,7 @@
             life = self.of(number).life
             first.table.take(Claim.of(number, life, State.PRESENT, 0, number), self.queue.now)
         for each in others:
-            for own, known in zip(each.table.members, first.table.members, strict=True):
-                own.claim = known.claim
-            each.table.digest = first.table.digest
+            each.table.adopt(first.table)
         for each in (first, *others):
             each.settle()
 
@@ -136,9 +144,8 @@
 
     def start(self, number: int, ahead_s: float = 0.0, size: int | None = None) -> Process:
         """A process begins, beside any that the member has; its wall clock is so far ahead."""
-        process = Process.__new__(Process)
+        process = Process(self, number, size or self.size, ahead_s)
         self.processes.setdefault(number, []).append(process)
-        process.__init__(self, number, size or self.size, ahead_s)  # type: ignore[misc]
         return process
 
     def kill(self, number: int) -> None:
@@ -186,7 +193,6 @@
         """Hand a datagram to one process of a member; which, is by its source, as the system does it."""
         found = self.processes.get(target)
         if found:
-            self.delivered += 1
             process = found[(source * 2_654_435_761 >> 8) % len(found)]
             if process.late_us:
                 self.queue.after(process.late_us, process.hear, source, payload)
@@ -198,21 +204,9 @@
 
     # What is believed
 
-    def views(self) -> dict[int, bytes]:
-        """By member that lives, what it believes of each: a byte of State for each."""
-        return {
-            number: bytes([each.claim.mark & 3 for each in self.of(number).table.members])
-            for number in self.alive
-        }
-
     def is_agreed(self) -> bool:
         """Whether all that live hold the same lives and ends, and believe just those that live present."""
-        digests = {self.of(number).table.digest for number in self.processes}
-        states = set(self.views().values()) if len(digests) == 1 else set()
-        return len(states) == 1 and all(
-            each == State.PRESENT if number in self.processes else each >= State.DEAD
-            for number, each in enumerate(states.pop())
-        )
+        return agreed({number: self.of(number).table for number in self.processes})
 
     def until_agreed(self, within_s: float, step_s: float = 0.25) -> float | None:
         """Run until all agree; give after how many seconds, or None if not within the bound."""
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -11,6 +12,7 @@
 
 import uvloop
 
+from micadeck.client import Address
 from micadeck.config import parse
 from micadeck.roles import Transport
 from micadeck.sidecar import Sidecar
@@ -48,6 +50,17 @@
     return uvloop.run(bounded())
 
 
+def free_for_datagrams(count: int) -> tuple[Address, ...]:
+    """So many addresses, each with a port that the system chooses."""
+    held = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
+    for each in held:
+        each.bind((HOST, 0))
+    out: list[Address] = [each.getsockname() for each in held]
+    for each in held:
+        each.close()
+    return tuple(out)
+
+
 async def soon(what: Awaitable[T]) -> T:
     async with asyncio.timeout(PATIENCE_S):
         return await what
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -5,7 +5,7 @@
 import socket
 from dataclasses import dataclass, field
 
-from loopback import HOST, play, until
+from loopback import free_for_datagrams, play, until
 
 from micadeck.client import Address
 from micadeck.clock import Clock
@@ -31,20 +31,10 @@
         return None if figures is None else figures[name]
 
 
-def free(count: int) -> list[Address]:
-    held = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
-    for each in held:
-        each.bind((HOST, 0))
-    out: list[Address] = [each.getsockname() for each in held]
-    for each in held:
-        each.close()
-    return out
-
-
-async def copies(addresses: list[Address], count: int) -> list[Copy]:
+async def copies(addresses: tuple[Address, ...], count: int) -> list[Copy]:
     out: list[Copy] = []
     for me in range(count):
-        peers = Peers(tuple(addresses), None, me, lambda by, data, me=me: out[me].members.heard(by, data))  # type: ignore[misc]
+        peers = Peers(addresses, None, me, lambda by, data, me=me: out[me].members.heard(by, data))  # type: ignore[misc]
         lines: list[str] = []
         sizes: list[Size] = []
         members = Members(me, "0", me, Clock(), peers, lines.append, sizes.append)
@@ -57,7 +47,7 @@
 
 def test_three_see_each_other_one_leaves_and_all_are_told() -> None:
     async def work() -> None:
-        one, two, three = await copies(free(3), 3)
+        one, two, three = await copies(free_for_datagrams(3), 3)
         everybody = (one, two, three)
         await until(lambda: all(each.figure("present") == 3 for each in everybody))
         three.members.leave()
@@ -75,7 +65,7 @@
 
 def test_switched_off_the_decisions_go_by_what_is_configured_again() -> None:
     async def work() -> None:
-        one, two = await copies(free(2), 2)
+        one, two = await copies(free_for_datagrams(2), 2)
         await until(lambda: one.figure("present") == 2)
         two.members.leave()
         await until(lambda: one.sizes[-1].high == 1)
@@ -88,13 +78,30 @@
     play(work)
 
 
+def test_decisions_that_are_informed_again_hear_the_number_at_once() -> None:
+    async def work() -> None:
+        one, two = await copies(free_for_datagrams(2), 2)
+        await until(lambda: one.figure("present") == 2)
+        two.members.leave()
+        await until(lambda: one.sizes[-1].high == 1)
+        one.members.configure(MembershipSettings(informs=False))
+        assert one.sizes[-1].high == 2
+        one.members.configure(QUICK)
+        assert one.sizes[-1].high == 1
+        for each in (one, two):
+            each.members.close()
+            each.peers.close()
+
+    play(work)
+
+
 def test_peers_may_change_while_it_runs() -> None:
     async def work() -> None:
-        addresses = free(3)
+        addresses = free_for_datagrams(3)
         one, two = await copies(addresses[:2], 2)
         await until(lambda: one.figure("present") == 2)
         for each in (one, two):
-            each.peers.move(tuple(addresses), None)
+            each.peers.move(addresses, None)
             each.members.configure(QUICK)
         assert one.figure("configured") == 3 and one.figure("unknown") == 1
         for each in (one, two):
@@ -106,7 +113,7 @@
 
 def test_a_datagram_that_is_none_of_the_tiers_is_counted_by_its_reason() -> None:
     async def work() -> None:
-        addresses = free(2)
+        addresses = free_for_datagrams(2)
         (one,) = await copies(addresses, 1)
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
             stranger.sendto(b"hello", addresses[0])
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -5,21 +5,15 @@
 import asyncio
 import socket
 
-from loopback import HOST, play, soon
+from loopback import free_for_datagrams, play, soon
 
-from micadeck.client import Address
 from micadeck.peers import Peers
 
 
 def test_peers_hear_one_another_and_nobody_else() -> None:
     # Guards against an endpoint that never comes up: its failure is only a line in the log.
     async def work() -> None:
-        ports = []
-        for _ in range(2):
-            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
-                probe.bind((HOST, 0))
-                ports.append(probe.getsockname()[1])
-        addresses: tuple[Address, ...] = tuple((HOST, port) for port in ports)
+        addresses = free_for_datagrams(2)
         heard: asyncio.Queue[tuple[int, int, bytes]] = asyncio.Queue()
 
         def ear(me: int) -> Peers:
