--- a/plumtrestle/report/plots.py
+++ b/plumtrestle/report/plots.py
@@ -12,6 +12,8 @@
 from matplotlib.figure import Figure
 from matplotlib.patches import Patch
 
+from plumtrestle.rules.tier import BELIEFS
+
 matplotlib.rcParams.update(
     {
         "svg.hashsalt": "plumtrestle",  # the same plot for the same results
@@ -65,8 +67,7 @@
 
 
 _SNAPSHOTS = 8
-_BELIEFS = {"p": "#2f7d4f", "s": "#e0a030", "?": "#d9d9d9", "l": "#7a8ca8", "d": "#a5251c"}
-_NAMES = {"p": "present", "s": "suspected", "?": "unknown", "l": "left", "d": "dead"}
+_BELIEF_COLOURS = {"p": "#2f7d4f", "s": "#e0a030", "?": "#d9d9d9", "l": "#7a8ca8", "d": "#a5251c"}
 
 
 def who_sees_whom(seen: dict[str, list[tuple[float, str]]], length_s: float) -> str:
@@ -74,8 +75,8 @@
     copies = sorted(seen, key=int)
     times = [length_s * (place + 1) / _SNAPSHOTS for place in range(_SNAPSHOTS)]
     figure = Figure(figsize=(9.0, 5.2), layout="constrained")
-    letters = list(_BELIEFS)
-    colours = ListedColormap(list(_BELIEFS.values()))
+    letters = list(_BELIEF_COLOURS)
+    colours = ListedColormap(list(_BELIEF_COLOURS.values()))
     for own, at in zip(figure.subplots(2, _SNAPSHOTS // 2).flat, times, strict=True):
         views = [_view_at(seen[copy], at) for copy in copies]
         width = max(map(len, views))
@@ -85,7 +86,7 @@
         own.grid(False)
         own.set_xticks([])
         own.set_yticks([])
-    patches = [Patch(color=colour, label=_NAMES[letter]) for letter, colour in _BELIEFS.items()]
+    patches = [Patch(color=colour, label=BELIEFS[letter]) for letter, colour in _BELIEF_COLOURS.items()]
     figure.legend(handles=patches, loc="outside lower center", ncols=len(patches), frameon=False)
     figure.suptitle("who sees whom: a row for each copy that looks, a column for each member", fontsize=9)
     return _svg(figure)
--- a/plumtrestle/rules/tier.py
+++ b/plumtrestle/rules/tier.py
@@ -6,7 +6,14 @@
 
 from plumtrestle.rules.history import History
 
-UNKNOWN, PRESENT, SUSPECTED, DEAD, LEFT = "?", "p", "s", "d", "l"
+PRESENT, DEAD, LEFT = "p", "d", "l"
+BELIEFS = {
+    PRESENT: "present",
+    "s": "suspected",
+    "?": "unknown",
+    LEFT: "left",
+    DEAD: "dead",
+}  # a view's letters
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,11 +33,6 @@
     last_fault: int  # when the last trouble ended
     wrongly_dead: tuple[tuple[int, int], ...]  # (by, of): at the end called dead or gone, though it lived
 
-    @property
-    def after_us(self) -> int | None:
-        """How long after the last fault they agreed."""
-        return None if self.at is None else max(self.at - self.last_fault, 0)
-
 
 def looks(history: History) -> list[Look]:
     """All looks, in order of time."""
--- a/plumtrestle/tier/explore.py
+++ b/plumtrestle/tier/explore.py
@@ -18,6 +18,7 @@
 from micadeck.tier.message import State
 from micadeck.tier.settings import MembershipSettings
 from micadeck.tier.view import Action, Datagram, Wake
+from plumtrestle.tier.virtual import agreed
 
 MEMBERS = 3
 _UNIX_S = 1_780_000_000.0
@@ -195,13 +196,8 @@
             self._tick(number)
 
     def _agreed(self) -> bool:
-        found = [each.membership for each in self.members if each.membership is not None]
-        present = all(
-            member.state is State.PRESENT and not member.is_unknown
-            for each in found
-            for member in each.table.members
-        )
-        return present and len({each.table.digest for each in found}) == 1
+        found = {number: each.membership for number, each in enumerate(self.members)}
+        return agreed({number: each.table for number, each in found.items() if each is not None})
 
     def key(self) -> tuple[object, ...]:
         """Two worlds with the same key go on alike, as far as it matters."""
--- a/plumtrestle/tier/measure.py
+++ b/plumtrestle/tier/measure.py
@@ -10,6 +10,8 @@
 from pathlib import Path
 from typing import TypeVar
 
+import numpy as np
+
 from micadeck.tier.message import State
 from plumtrestle.report import plots
 from plumtrestle.tier.virtual import VirtualTier
@@ -115,7 +117,7 @@
 
 def quantile(values: Sequence[float], part: float) -> float:
     """The least value that this part of them does not exceed."""
-    return sorted(values)[min(int(part * len(values)), len(values) - 1)]
+    return float(np.quantile(values, part, method="higher"))
 
 
 def measure_found(jobs: int) -> None:
@@ -138,7 +140,8 @@
 def measure_quiet(jobs: int) -> None:
     """What is wrongly believed where nobody was killed, and what it costs: a table."""
     print(
-        "| members | loss, slow | suspicions | called dead, an hour and member | datagrams, bytes a second |"
+        "| members | loss, slow | suspected, called dead: an hour and member"
+        " | datagrams, bytes: a second and member |"
     )
     for size in QUIET_SIZES:
         for loss, slow in _CONDITIONS:
