Ask beside a watch that is overdue, and let one owner say whether a list is news

Ruled out: the decisions (the list they had said ready), idle connections and dials (closed on hearing).

Change: a call that is overdue is made again on a further connection beside it, three at most, and the first answer is heard; the sum of times stands in discovery.py. A watch is overdue 0.5 s after its wait, which is up to a quarter shorter by chance, so that a tier does not come back in one moment. Catalog decides whether a listing is news: an older one from a call that began earlier, from before discovery moved, or late without a break is none; after a break a whole list of lower version is taken, but revives no leaving server and no old start. Where lists are pushed, a start waits up to 2 s for the agent's word, since what the agent has counts as told from the first moment of a process.

--- a/micadeck/config.py
+++ b/micadeck/config.py
@@ -10,8 +10,8 @@
 
 from magpiemux import Settings
 from magpiemux.adapter import settings_from_wire
+from micadeck.catalog import Listing, parse_listing
 from micadeck.client import Address, parse_address
-from micadeck.discovery import Listing, parse_listing
 from micadeck.tier.settings import MembershipSettings
 
 _DEFAULT_SOCKETS = 1_024
--- a/micadeck/discovery.py
+++ b/micadeck/discovery.py
@@ -1,104 +1,44 @@
-"""The list of servers: reading it, fetching it and watching it."""
+"""Calls for the list of servers: fetching it and watching it.
+
+A connection may fall silent: its watch is answered no more.  What it misses counts as told 2 s after the wait
+that the call asked for, and the drain grace later nothing may go to a server that is leaving.  So a call that
+is overdue is made again on a further connection beside it, and whichever answers first is heard:
+
+    wait + 0.5 s  the watch is overdue, a second connection is dialled and asked for all news, without a wait
+    wait + 1.5 s  that one is silent as well: a third
+    wait + 2 s    the news counts as told
+    wait + 5 s    no connection had an answer: the call has failed
+
+A call that waits for nothing is overdue after 3.5 s: its answer may stand in discovery's line for 3 s, and
+what a silent one misses counts as told 6 s after it began.  Where all watches fall silent together, a tier
+comes back together; each wait is up to a quarter shorter, by chance, so that discovery's line stays short.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import json
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
+from random import Random
 from typing import Any
 
-from magpiemux.interface import ListedServer, ListKind, ServersListed, ServerState
-from micadeck.client import Address, ClientConnection, Failure, Message, Response, parse_address
+from micadeck.catalog import Catalog, Inconsistent, Listing, parse_listing
+from micadeck.client import Address, ClientConnection, Failure, Message, Response
 
-_STATES = {"active": ServerState.READY, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
 _PATH = "/catalog/members"
 _MOST_BYTES = 4 << 20  # of a whole list
-_ANSWER_WITHIN_S = 5.0  # for a call that waits for nothing
-_WATCH_WITHIN_S = 2.0  # and for a watch, beyond its wait: what is told later counts as told all the same
+_ANSWER_OVERDUE_S = 3.5  # a call that waits for nothing
+_WATCH_OVERDUE_S = 0.5  # and a watch, beyond its wait
+_BESIDE_OVERDUE_S = 1.0  # and a call that was made beside an overdue one
+_MOST_BESIDE = 3  # connections for one answer
+_FAILED_AFTER_S = 5.0  # beyond its wait, a call that nobody answered has failed
 _DIAL_WITHIN_S = 1.0
-_WATCH_MS = 20_000  # how long a watch may wait for news
+_WATCH_MS = 20_000  # how long a watch may wait for news, at the most
+_WATCH_SPREAD = 0.25  # part of that by which it may be shorter
 _PUSHED_AGAIN_S = 0.2  # where lists are pushed nobody asks again: a broken watch is taken up after this
 _MOST_CALLS = 8  # at once; more fail unasked
 
 
-@dataclass(frozen=True, slots=True)
-class Entry:
-    """A line of the list, with where the server can be reached from here."""
-
-    listed: ListedServer
-    address: Address | None  # None: it left
-
-
-@dataclass(frozen=True, slots=True)
-class Listing:
-    """An answer of discovery."""
-
-    version: int
-    full: bool
-    entries: tuple[Entry, ...]
-
-    def event(self, kind: ListKind | None = None) -> ServersListed:
-        by_form = ListKind.COMPLETE if self.full else ListKind.CHANGES
-        return ServersListed(kind or by_form, [each.listed for each in self.entries], self.version)
-
-
-def parse_listing(given: object) -> Listing:
-    """Read a list of servers in discovery's form; raise ValueError on nonsense."""
-    if not isinstance(given, dict):
-        raise ValueError("an object is needed")
-    version, full, servers = given.get("version"), given.get("full"), given.get("servers")
-    if type(version) is not int or version < 0:
-        raise ValueError(f"version: a whole number is needed, not {version!r:.60}")
-    if not isinstance(full, bool):
-        raise ValueError(f"full: true or false is needed, not {full!r:.60}")
-    if not isinstance(servers, list):
-        raise ValueError(f"servers: a list is needed, not {servers!r:.60}")
-    return Listing(version, full, tuple(_entry(each) for each in servers))
-
-
-def _entry(given: object) -> Entry:
-    if not isinstance(given, dict):
-        raise ValueError("servers: an object is needed for each")
-    name = given.get("id")
-    if not isinstance(name, str) or not name:
-        raise ValueError(f"servers: an id is needed, not {name!r:.60}")
-    try:
-        state = _STATES[given["state"]]
-    except (KeyError, TypeError):
-        raise ValueError(f"servers: unknown state {given.get('state')!r:.60} of {name:.60}") from None
-    address = None if state is ServerState.GONE else parse_address(given.get("addr"))
-    started_ms = _number(given, "started_ms", 0)
-    listed = ListedServer(
-        server=name,
-        zone=_text(given, "zone"),
-        kind=_text(given, "kind"),
-        cell=int(_number(given, "cell", 0)),
-        state=state,
-        nominal=_number(given, "weight", 1.0),
-        started_at=int(started_ms * 1_000) or None,
-    )
-    return Entry(listed, address)
-
-
-def _text(given: dict[str, Any], key: str) -> str:
-    value = given.get(key)
-    if value is None:
-        return ""
-    if not isinstance(value, str):
-        raise ValueError(f"servers: {key}: a text is needed, not {value!r:.60}")
-    return value
-
-
-def _number(given: dict[str, Any], key: str, default: float) -> float:
-    value = given.get(key)
-    if value is None:
-        return default
-    if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 <= value < 2**53:
-        raise ValueError(f"servers: {key}: a number is needed, not {value!r:.60}")
-    return value
-
-
 class CallFailed(Exception):
     """Discovery did not answer a call, or not with a list."""
 
@@ -109,20 +49,23 @@
     def __init__(
         self,
         address: Address,
-        version: int,
+        known: Listing,
         pushed: bool,
+        seed: int,
         on_list: Callable[[Listing], None],
         on_failed: Callable[[], None],
     ) -> None:
         self._address = address
-        self._version = version
+        self._catalog = Catalog(known)
         self._pushed = pushed
+        self._random = Random(seed)
         self._on_list = on_list
         self._on_failed = on_failed
         self._watch: asyncio.Task[None] | None = None
         self._is_wanted = False
         self._watch_answered = False
         self._tasks: set[asyncio.Task[None]] = set()
+        self._first_call_over = asyncio.Event()
 
     def start(self) -> None:
         """Where lists are pushed, the agent's are heard from the start on, unasked."""
@@ -130,6 +73,18 @@
             self._is_wanted = True
             self._watch = self._spawn(self._hear_pushed())
 
+    async def first_word(self, within_s: float) -> None:
+        """Where lists are pushed, wait until the agent has answered once or can't be reached.
+
+        What it has counts as told from the first moment of a process, heard or not.
+        """
+        if self._pushed:
+            try:
+                async with asyncio.timeout(within_s):
+                    await self._first_call_over.wait()
+            except TimeoutError:
+                pass
+
     def move(self, address: Address) -> None:
         """Make all further calls to this address; a watch goes on there at once, from the version it had.
 
@@ -138,9 +93,11 @@
         if address == self._address:
             return
         self._address = address
+        self._catalog.broken()
         if self._watch is not None:
             self._watch.cancel()
         if self._is_wanted:
+            self._watch_answered = False
             self._watch = self._spawn(self._hear_pushed() if self._pushed else self._follow())
 
     def follow(self, wanted: bool) -> None:
@@ -179,47 +136,137 @@
         return task
 
     async def _fetch(self) -> None:
-        line = _Line(self._address)
+        """Ask once; an answer of where discovery was before it moved is asked for again."""
+        address = None
         try:
-            listing = await line.call(None, 0)
-        except CallFailed:
-            self._on_failed()
+            while address != self._address:
+                address, begun = self._address, self._catalog.begin()
+                question = _Question(address, None, 0)
+                try:
+                    listing = await question.answered()
+                finally:
+                    question.close()
+            news = self._catalog.admit(listing, begun, None)
+        except (CallFailed, Inconsistent):
+            self._failed()
         else:
-            self._heard(listing)
-        finally:
-            line.close()
+            self._on_list(news or Listing(self._catalog.version, False, ()))
 
     async def _follow(self) -> None:
         try:
             await self._watch_on()
         except CallFailed:
             self._watch = None
-            self._on_failed()
+            self._failed()
 
     async def _hear_pushed(self) -> None:
         while True:
             try:
                 await self._watch_on()
             except CallFailed:
+                self._catalog.broken()
+                self._first_call_over.set()
                 await asyncio.sleep(_PUSHED_AGAIN_S)
 
+    def _failed(self) -> None:
+        self._catalog.broken()
+        self._on_failed()
+
     async def _watch_on(self) -> None:
         """Watch until a call fails.  The first call waits for nothing, so that it is answered soon."""
-        line = _Line(self._address)
+        line: _Line | None = None
+        wait_ms = 0
         try:
-            wait_ms = 0
             while True:
-                listing = await line.call(self._version, wait_ms)
-                if listing.full or listing.entries or not self._watch_answered:
-                    self._watch_answered = True
-                    self._heard(listing)
-                wait_ms = _WATCH_MS
+                after, begun = self._catalog.after, self._catalog.begin()
+                question = _Question(self._address, after, wait_ms, line)
+                try:
+                    listing = await question.answered()
+                finally:
+                    line = question.close()
+                self._heard(listing, begun, after)
+                wait_ms = int(_WATCH_MS * (1.0 - _WATCH_SPREAD * self._random.random()))
         finally:
+            if line is not None:
+                line.close()
+
+    def _heard(self, listing: Listing, begun: int, after: int | None) -> None:
+        """An answer to the watch; the first is passed on whatever it says."""
+        try:
+            news = self._catalog.admit(listing, begun, after)
+        except Inconsistent as fault:
+            raise CallFailed(str(fault)) from None
+        if news is None or not (news.full or news.entries):
+            news = None if self._watch_answered else Listing(self._catalog.version, False, ())
+        self._watch_answered = True
+        self._first_call_over.set()
+        if news is not None:
+            self._on_list(news)
+
+
+class _Question:
+    """One answer wanted, over as many connections as it takes: whichever has it first is kept."""
+
+    def __init__(self, address: Address, after: int | None, wait_ms: int, line: _Line | None = None) -> None:
+        self._address = address
+        self._after = after
+        self._wait_ms = wait_ms
+        self._line = line  # one that had an answer before
+        self._calls: dict[asyncio.Task[Listing], _Line] = {}
+
+    async def answered(self) -> Listing:
+        """Give the first answer; raise CallFailed if there is none."""
+        try:
+            async with asyncio.timeout(self._wait_ms / 1_000 + _FAILED_AFTER_S):
+                return await self._first_answer()
+        except TimeoutError:
+            raise CallFailed("no answer") from None
+
+    async def _first_answer(self) -> Listing:
+        wait_s = self._wait_ms / 1_000
+        overdue_s = wait_s + _WATCH_OVERDUE_S if wait_s else _ANSWER_OVERDUE_S
+        self._call(self._line or _Line(self._address), self._wait_ms)
+        made, failed = 1, 0
+        while True:
+            may_ask_beside = made < _MOST_BESIDE
+            done, _ = await asyncio.wait(
+                self._calls,
+                timeout=overdue_s if may_ask_beside else None,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            for task in done:
+                line = self._calls.pop(task)
+                if task.exception() is None:
+                    self._line = line
+                    return task.result()
+                line.close()
+                failed += 1
+            if not self._calls or failed == _MOST_BESIDE - 1:
+                raise CallFailed("no list")  # the first is as good as silent
+            if may_ask_beside:
+                self._call(_Line(self._address), 0)
+                made, overdue_s = made + 1, _BESIDE_OVERDUE_S
+
+    def _call(self, line: _Line, wait_ms: int) -> None:
+        task = asyncio.get_running_loop().create_task(line.call(self._after, wait_ms))
+        task.add_done_callback(_taken_note_of)
+        self._calls[task] = line
+
+    def close(self) -> _Line | None:
+        """Give up what is still asked; give the connection that had the answer."""
+        calls, self._calls = self._calls, {}
+        for task, line in calls.items():
+            task.cancel()
             line.close()
+            if line is self._line:
+                self._line = None
+        return self._line
+
 
-    def _heard(self, listing: Listing) -> None:
-        self._version = listing.version
-        self._on_list(listing)
+def _taken_note_of(task: asyncio.Task[Listing]) -> None:
+    """Of calls beside each other some fail in vain; that is no fault of the event loop's."""
+    if not task.cancelled():
+        task.exception()
 
 
 class _Line:
@@ -236,8 +283,7 @@
     async def call(self, after: int | None, wait_ms: int) -> Listing:
         target = _PATH if after is None else f"{_PATH}?after={after}&wait_ms={wait_ms}"
         try:
-            async with asyncio.timeout(wait_ms / 1_000 + _WATCH_WITHIN_S if wait_ms else _ANSWER_WITHIN_S):
-                response = await self._get(target.encode())
+            response = await self._get(target.encode())
         except (OSError, TimeoutError) as fault:
             raise CallFailed(str(fault)) from None
         if isinstance(response, Failure) or response.status != 200:
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -45,6 +45,7 @@
     TimerFired,
 )
 from micadeck import discovery
+from micadeck.catalog import Listing
 from micadeck.client import ClientConnection, Message, Response
 from micadeck.clock import Clock
 from micadeck.config import Config
@@ -68,6 +69,7 @@
 _FOR_CLIENTS = 1 / 3  # of all, as the platform's terms allow at the most
 _FOR_CLIENTS_LEFT = 0.5  # and of what is not reserved, where that is less
 _LOOK_EVERY_S = 0.1  # for another process of this sidecar
+_FIRST_WORD_S = 2.0  # how long a start waits for the list of an agent that pushes, where it says nothing
 _PROBE_WITHIN_US = 1_000_000
 _NEW_FOR_S = 0.4  # how long after SIGTERM new connections may go on coming
 _QUIET_S = 0.05  # and how long none must have come before the listener closes
@@ -128,8 +130,9 @@
         self._upstream = Upstream(self._clock, limits, for_servers, written)
         self._discovery = discovery.Discovery(
             config.discovery,
-            config.known.version,
+            config.known,
             config.settings.discovery is Discovery.PUSHED,
+            config.seed,
             self._listed,
             lambda: self._post(ServersListed(ListKind.FAILED)),
         )
@@ -178,6 +181,7 @@
         if self._presence is not None:
             self._look_around()
         self._discovery.start()
+        await self._discovery.first_word(_FIRST_WORD_S)
         self.frontend.listen(self._held or bound(self._config.listen))
 
     def reconfigure(self, config: Config) -> None:
@@ -365,7 +369,7 @@
         else:
             self._members.heard(sender, payload)
 
-    def _listed(self, listing: discovery.Listing) -> None:
+    def _listed(self, listing: Listing) -> None:
         self._upstream.listed(listing)
         self._post(listing.event())
 
--- a/micadeck/upstream.py
+++ b/micadeck/upstream.py
@@ -8,9 +8,9 @@
 from dataclasses import dataclass
 
 from magpiemux.interface import Limits, Outcome, ServerState
+from micadeck.catalog import Listing
 from micadeck.client import Address, ClientConnection, Failure, Message, Response
 from micadeck.clock import Clock
-from micadeck.discovery import Listing
 from micadeck.roles import Sink
 from micadeck.stream import KEPT, STALLED_S
 
--- /dev/null
+++ b/tests/test_lists.py
@@ -0,0 +1,109 @@
+"""Lists that cross requests, in a whole sidecar over loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+from loopback import CLASSES, HOST, OK, Heard, ScriptedServer, line, play, reply, request, soon, stage, until
+
+from micadeck.config import parse
+from micadeck.sidecar import Sidecar
+
+Script = bytes | None
+
+
+def pushed_sidecar(agent: str, server: str, log: list[str]) -> Sidecar:
+    """One whose agent pushes lists; it knows the server as active from before."""
+    return Sidecar(
+        parse(
+            {
+                "name": "n0",
+                "listen": f"{HOST}:0",
+                "discovery": agent,
+                "seed": "8c1f",
+                "known": {"version": 1, "full": True, "servers": [line("s-0", server)]},
+                "settings": {"lanes": CLASSES, "zone": "a", "discovery": "pushed"},
+            }
+        ),
+        log.append,
+    )
+
+
+def test_where_lists_are_pushed_nobody_is_served_before_the_agent_has_spoken() -> None:
+    # Guards rule 3: what the agent has counts as told from the first moment of a new process.
+    async def work() -> None:
+        release = asyncio.Event()
+
+        async def agent_says(heard: Heard) -> bytes | None:
+            if not heard.target.endswith("=0"):
+                return None
+            await release.wait()
+            leaving = line("s-0", server.address, state="leaving")
+            return reply(json.dumps({"version": 2, "full": True, "servers": [leaving]}).encode())
+
+        server, agent = await ScriptedServer(OK).start(), await ScriptedServer(agent_says).start()
+        sidecar = pushed_sidecar(agent.address, server.address, [])
+        starting = asyncio.get_running_loop().create_task(sidecar.start())
+        await until(lambda: len(agent.heard) == 1)
+        assert not sidecar.is_ready() and not starting.done()
+        release.set()
+        await soon(starting)
+        reader, writer = await asyncio.open_connection(HOST, sidecar.frontend.port)
+        writer.write(request("lodge"))
+        assert (await soon(reader.readline())).startswith(b"HTTP/1.1 503")
+        assert server.heard == []
+        writer.close()
+        sidecar.close()
+        server.stop()
+        agent.stop()
+
+    play(work)
+
+
+@pytest.mark.parametrize("agent_is", ["away", "silent", "busy"])
+def test_an_agent_that_says_nothing_delays_a_start_by_a_bounded_time(
+    agent_is: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def work() -> None:
+        if agent_is == "silent":
+            monkeypatch.setattr("micadeck.sidecar._FIRST_WORD_S", 0.05)
+        else:
+            monkeypatch.setattr("micadeck.sidecar._FIRST_WORD_S", 3_600.0)  # a "no" is not waited out
+        script: Script = reply(b"", "503 Busy") if agent_is == "busy" else None
+        server, agent = await ScriptedServer(OK).start(), await ScriptedServer(script).start()
+        address = agent.address
+        if agent_is == "away":
+            agent.stop()
+        sidecar = pushed_sidecar(address, server.address, [])
+        await soon(sidecar.start())
+        reader, writer = await asyncio.open_connection(HOST, sidecar.frontend.port)
+        writer.write(request("lodge"))
+        assert (await soon(reader.readline())).startswith(b"HTTP/1.1 200")
+        writer.close()
+        sidecar.close()
+        server.stop()
+        if agent_is != "away":
+            agent.stop()
+
+    play(work)
+
+
+def test_a_late_list_brings_a_leaving_server_back_neither_to_the_pool_nor_to_the_draw() -> None:
+    # Guards rule 3 over everything between discovery and the socket.
+    async def work() -> None:
+        async with stage(OK, OK) as scene:
+            first, second = (each.address for each in scene.servers)
+            await until(lambda: len(scene.discovery.heard) >= 2)
+            scene.discovery.version = 5
+            scene.discovery.tell(line("s-0", first, state="leaving"))
+            await until(lambda: len(scene.discovery.heard) >= 3)
+            scene.discovery.version = 2
+            scene.discovery.tell(line("s-0", first), line("s-1", second))
+            await until(lambda: len(scene.discovery.heard) >= 4)
+            for _ in range(12):
+                assert (await scene.ask()).status == 200
+            assert scene.servers[0].heard == []
+
+    play(work)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -22,9 +22,9 @@
 )
 
 from magpiemux.interface import Limits, Outcome
+from micadeck.catalog import parse_listing
 from micadeck.client import Message
 from micadeck.clock import Clock
-from micadeck.discovery import parse_listing
 from micadeck.upstream import Call, Upstream
 
 
