Judge at the write what a dial has outlived: window, group, drain, client

Cause: the class's window was asked for at the draw alone (`_may_run_again`); a dial may take as long as the window, and what counts is the first byte. Ruled out: the drain of a server during a dial (guarded already, with a test).

Change: the decision carries `begin_by`, the last moment for the first byte, and the pool has one guard before all writing (`_may_begin`): begin_by, deadline, drain, exclusion, whether somebody still waits. What it stops is UNSENT: proof that nothing ran. A server in another zone or cell is another server to the pool, an attempt remembers the group that it was sent to, and an answered or abandoned request withdraws what is not written.

Each test of test_late_dials.py and the two in test_rules.py was seen to fail with its line taken out.

--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -200,6 +200,7 @@
         "index",
         "may_have_run",
         "pending",
+        "place",
         "sent_at",
         "server",
         "started",
@@ -210,6 +211,7 @@
         self.answers_before = answers_before  # how many answers had come by then, from all servers
         self.index = index
         self.server = server
+        self.place = server.zone, server.cell  # as listed then: a server may move
         self.sent_at = sent_at
         self.pending = True
         self.at_work = False  # whether the server has it all and owes the beginning of an answer
@@ -876,13 +878,12 @@
     def _send(self, request: Request, server: Server) -> bool:
         """The one way out for an attempt.  Says whether the attempt was allowed and sent."""
         limits = self._settings.limits
-        if request.answered or self._now >= request.answer_by:
-            return False  # rule 1: nothing after the final answer, nothing that cannot be answered in time
+        begin_by = self._begin_by(request)
+        if request.answered or self._now >= begin_by:
+            return False  # rules 1 and 2: not after the final answer, nor later than it helps or is allowed
         if len(request.attempts) >= limits.max_attempts:
             return False
-        if not limits.second_copies and request.is_out():
-            return False  # rule 2
-        if not self._may_run_again(request) or not self._in_group(request, server):
+        if (not limits.second_copies and request.is_out()) or not self._in_group(request, server):
             return False  # rule 2
         if not server.is_wanted:
             return False  # rule 3: at once on hearing, without use of the grace
@@ -900,31 +901,28 @@
             self._trials -= 1.0
         if not request.arriving:
             self._take_up(request, attempt)
-        self._actions.append(Send(request.ident, server.name, request.answer_by))
+        self._actions.append(Send(request.ident, server.name, request.answer_by, begin_by))
         return True
 
-    def _may_run_again(self, request: Request) -> bool:
-        """Whether the request's class lets another attempt out now."""
+    def _begin_by(self, request: Request) -> int:
+        """Until when its class lets a further attempt begin, by its first byte; 0: not at all."""
         if request.spent:
-            return False
+            return 0
         first_maybe = next((each for each in request.attempts if each.may_have_run), None)
         if first_maybe is None or request.kind.repeat is Repeat.SAFE:
-            return True
+            return request.answer_by
         if request.kind.repeat is Repeat.UNSAFE:
-            return False
+            return 0
         # Keyed: servers forget; one tick less, since the clock is read once a tick.
-        return self._now + self._settings.tick_us < first_maybe.sent_at + request.kind.memory_us
+        return min(first_maybe.sent_at + request.kind.memory_us - self._settings.tick_us, request.answer_by)
 
     @staticmethod
     def _in_group(request: Request, server: Server) -> bool:
         """Whether a keyed request that may have run would have its repeat dropped at this server."""
         if request.kind.repeat is not Repeat.KEYED or request.kind.group is Group.ALL:
             return True
-        for each in request.attempts:
-            if each.may_have_run:
-                if request.kind.group is Group.ZONE:
-                    return each.server.zone == server.zone
-                return each.server.cell == server.cell
+        for zone, cell in (each.place for each in request.attempts if each.may_have_run):
+            return zone == server.zone if request.kind.group is Group.ZONE else cell == server.cell
         return True
 
     # -----------------------------------------------------------------------------------------------
@@ -1010,7 +1008,7 @@
             # A redraw on full is the design's own, and where nobody was reached no server had any work of it:
             # the allowance is for what may pile up at servers.
             free = full or event.outcome is Outcome.DIAL_FAILED
-            if self._may_run_again(request) and (free or self._extra >= 1.0):
+            if self._now < self._begin_by(request) and (free or self._extra >= 1.0):
                 self._extra -= 0.0 if free else 1.0
                 self._place(request)
             elif not request.is_out():
@@ -1081,7 +1079,8 @@
                 self._eject(server, "silent", SILENT_MOST)
         silent = silent and (server.ejected_until is not None or attempt.blames_idle)
         limits = self._settings.limits
-        if request.once or not self._may_run_again(request) or len(request.attempts) >= limits.max_attempts:
+        is_last = self._now >= self._begin_by(request) or len(request.attempts) >= limits.max_attempts
+        if request.once or is_last:
             return  # waiting is all that is left
         if limits.second_copies:
             if silent and self._extra >= 1.0:
--- a/magpiemux/interface.py
+++ b/magpiemux/interface.py
@@ -566,6 +566,7 @@
     request: int
     server: str
     until: int  # clock time at which the attempt is abandoned
+    begin_by: int | None = None  # and by which its first byte has to leave, or it stays unsent; None: `until`
 
 
 @dataclass(slots=True)
--- a/micadeck/frontend.py
+++ b/micadeck/frontend.py
@@ -187,7 +187,8 @@
         if not self._http.is_in_body or self._ended:
             return False
         if self._held_since is not None:
-            return now - self._held_since > 2 * STALLED_S  # what it waits for should be given up by now
+            # While it is not read from, its end is not heard either; waited for should have been given up.
+            return self.has_left() or now - self._held_since > 2 * STALLED_S
         return self.lag(now) > _BODY_WITHIN_S
 
     @property
@@ -227,7 +228,7 @@
             self._ended = True  # what comes beside an open request is no request: its answer is the last
             return
         if self._request is None:
-            if self._has_left():
+            if self.has_left():
                 self.abort()
                 return
             if self._frontend.at_work(self):
@@ -268,8 +269,8 @@
 
     # The rest
 
-    def _has_left(self) -> bool:
-        """Whether the client closed its connection behind the request.
+    def has_left(self) -> bool:
+        """Whether the client closed its connection, behind whatever it sent.
 
         Guards against collapse: when there is too little time for all, requests are read so late that their
         clients have given up and ask anew, and all the time would go to answers that nobody reads.
@@ -398,7 +399,7 @@
             else:
                 self.answer(200, [], b"ready\n")
             return
-        if self._body and self._has_left():
+        if self._body and self.has_left():
             self.abort()
             return
         try:
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -515,7 +515,12 @@
         def begun(source: ClientConnection, head: Response, length: int | None) -> Sink | None:
             return self._answer_started(number, attempt, source, head, length)
 
-        call = Call(action.server, action.until, held.incoming.message, done, begun)
+        def is_wanted() -> bool:
+            return held.client is not None and not held.client.has_left()
+
+        call = Call(
+            action.server, action.until, held.incoming.message, done, begun, action.begin_by, is_wanted
+        )
         call.sent_at = sent_at
         held.calls.append(call)
         held.out += 1
@@ -569,6 +574,8 @@
             return None
         client, held.client = held.client, None
         self._owed -= 1
+        for call in held.calls:
+            self._upstream.withdraw(call)
         return client
 
     def _forget_if_over(self, request: int) -> None:
--- a/micadeck/upstream.py
+++ b/micadeck/upstream.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from magpiemux.interface import Limits, Outcome, ServerState
+from magpiemux.interface import Limits, ListedServer, Outcome, ServerState
 from micadeck.catalog import Listing
 from micadeck.client import Address, ClientConnection, Failure, Message, Response
 from micadeck.clock import Clock
@@ -27,10 +27,12 @@
     """One request to one server.  `done` is called exactly once, never from within `start` or `cancel`."""
 
     __slots__ = (
+        "begin_by",
         "begun",
         "connection",
         "done",
         "ended",
+        "is_wanted",
         "message",
         "moved",
         "sent_at",
@@ -47,8 +49,12 @@
         message: Callable[[int], Message],
         done: Done,
         begun: Begun | None = None,
+        begin_by: int | None = None,
+        is_wanted: Callable[[], bool] = lambda: True,
     ) -> None:
         self.begun = begun
+        self.begin_by = until if begin_by is None else begin_by  # its first byte leaves before that, or never
+        self.is_wanted = is_wanted  # whether somebody still waits for it
         self.moved = -1  # of its body when that was last looked at
         self.sent_at = 0  # by the clock, for whoever asked for it
         self.stalled_at = 0  # and since when nothing more moved
@@ -70,15 +76,21 @@
 class _Server:
     """Where a server is reached, and the connections to the process that is there now."""
 
-    __slots__ = ("address", "idle", "is_excluded", "is_leaving", "started_at")
+    __slots__ = ("address", "group", "idle", "is_excluded", "is_leaving", "started_at")
 
-    def __init__(self, address: Address, started_at: int | None, is_excluded: bool) -> None:
+    def __init__(self, address: Address, listed: ListedServer, is_excluded: bool) -> None:
         self.address = address
-        self.started_at = started_at
+        self.started_at = listed.started_at
+        self.group = listed.zone, listed.cell
         self.is_leaving = False  # by the list
         self.is_excluded = is_excluded  # by the operators
         self.idle: list[_Idle] = []  # the most recently used last
 
+    def is_same(self, address: Address, listed: ListedServer) -> bool:
+        """Whether a line of the list speaks of this process, still where it was."""
+        is_there = address == self.address and (listed.zone, listed.cell) == self.group
+        return is_there and listed.started_at == self.started_at
+
 
 class Upstream:
     """All connections to servers, `most` at once."""
@@ -108,12 +120,12 @@
             if address is None:
                 self._drop(name)
                 continue
-            server = self._servers.get(name)
-            if server is None or (server.address, server.started_at) != (address, entry.listed.started_at):
-                # Guards against writing to what was there before under the same id.
+            server, listed = self._servers.get(name), entry.listed
+            # Guards against writing to what was there before under the same id, or to a server that is no
+            # longer in the zone or cell by which a repeat was drawn.
+            if server is None or not server.is_same(address, listed):
                 self._drop(name)
-                server = _Server(address, entry.listed.started_at, name in self._excluded)
-                self._servers[name] = server
+                server = self._servers[name] = _Server(address, listed, name in self._excluded)
             server.is_leaving = entry.listed.state is not ServerState.READY
             if server.is_leaving:
                 self._close_idle(server)
@@ -147,8 +159,7 @@
     def start(self, call: Call) -> None:
         loop = asyncio.get_running_loop()
         server = self._servers.get(call.server)
-        left_us = call.until - self._clock.now()
-        if server is None or server.is_leaving or server.is_excluded or left_us <= 0:
+        if server is None or not self._may_begin(call, server):
             loop.call_soon(self._end, call, Outcome.UNSENT)
             return
         self._set_expiry(call)
@@ -163,6 +174,17 @@
         else:
             loop.call_soon(self._end, call, Outcome.UNSENT)
 
+    def _may_begin(self, call: Call, server: _Server) -> bool:
+        """Whether the first byte of a call may be written now: the one guard before all writing.
+
+        What was decided before a dial may be over after it: the class's window for repeats, the deadline, the
+        server's time (rule 3), the request itself, or the client's patience.
+        """
+        now = self._clock.now()
+        if call.ended or now >= call.begin_by or now >= call.until:
+            return False
+        return not server.is_leaving and not server.is_excluded and call.is_wanted()
+
     def cancel(self, call: Call) -> None:
         """Stop waiting; the outcome follows."""
         if call.ended:
@@ -170,9 +192,16 @@
         call.ended = True  # from here on nothing is written for it, also when a dial comes up
         if call.timer is not None:
             call.timer.cancel()
+        outcome = Outcome.UNSENT
         if call.connection is not None:
             call.connection.close()
-        asyncio.get_running_loop().call_soon(call.done, Outcome.CANCELLED, None)
+            outcome = Outcome.CANCELLED
+        asyncio.get_running_loop().call_soon(call.done, outcome, None)
+
+    def withdraw(self, call: Call) -> None:
+        """Nobody waits for it any more: it is not begun.  What was written is left to run."""
+        if call.connection is None:
+            self.cancel(call)
 
     def hurry(self, call: Call, until: int) -> None:
         """Wait no longer than until then."""
@@ -184,7 +213,8 @@
     def _set_expiry(self, call: Call) -> None:
         if call.timer is not None:
             call.timer.cancel()
-        left_s = max(call.until - self._clock.now(), 0) / 1e6
+        due = call.until if call.connection is not None else min(call.until, call.begin_by)
+        left_s = max(due - self._clock.now(), 0) / 1e6
         call.timer = asyncio.get_running_loop().call_later(left_s, self._expire, call)
 
     def close_idle(self, name: str) -> None:
@@ -203,7 +233,8 @@
     def _expire(self, call: Call) -> None:
         if call.connection is None:
             # Still dialling: not a byte was written, so it never ran.
-            self._end(call, Outcome.DIAL_FAILED)
+            is_late = self._clock.now() >= call.until
+            self._end(call, Outcome.DIAL_FAILED if is_late else Outcome.UNSENT)
         else:
             call.connection.close()
             self._end(call, Outcome.EXPIRED)
@@ -227,6 +258,8 @@
             return sink
 
         call.connection = connection
+        if call.begin_by < call.until:
+            self._set_expiry(call)
         message = call.message(max(call.until - self._clock.now(), 1_000))
         connection.exchange(message, ended, self._on_written, started if call.begun is not None else None)
         if message.upload is not None and not message.upload.is_whole:
@@ -270,17 +303,14 @@
             self._end(call, outcome)
             return
         self._owners[connection] = server
-        if server.is_leaving or server.is_excluded:
-            # Guards rule 3: word of its drain came while the dial was under way.
+        if not connection.is_usable():
             connection.close()
-            self._end(call, Outcome.UNSENT)
-        elif call.ended:
-            self._freed(connection)  # guards against writing what was called off; the connection is good
-        elif connection.is_usable():
+            self._end(call, Outcome.DIAL_FAILED)
+        elif self._may_begin(call, server):
             self._write(call, connection)
         else:
-            connection.close()
-            self._end(call, Outcome.DIAL_FAILED)
+            self._freed(connection)  # good as it is, unless its server is leaving
+            self._end(call, Outcome.UNSENT)
 
     def resize(self, most: int) -> None:
         """Have so many connections from now on; what is idle makes room, the longest first."""
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -147,6 +147,43 @@
         self.hang_up()
 
 
+class SlowToAccept:
+    """A server whose connections come up late: its line for new ones is full until it is let go."""
+
+    def __init__(self) -> None:
+        self.listener = socket.socket()
+        self.listener.bind((HOST, 0))
+        self.listener.listen(0)
+        self.fillers: list[socket.socket] = []
+
+    @property
+    def address(self) -> str:
+        return f"{HOST}:{self.listener.getsockname()[1]}"
+
+    async def fill(self) -> None:
+        for _ in range(3):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(self.listener.getsockname())
+            self.fillers.append(filler)
+        await asyncio.sleep(0.05)
+
+    async def let_go(self) -> socket.socket:
+        """Accept until the sidecar's own connection comes up; give it."""
+        ours = {each.getsockname() for each in self.fillers}
+        self.listener.setblocking(False)
+        loop = asyncio.get_running_loop()
+        while True:
+            accepted, address = await loop.sock_accept(self.listener)
+            if address not in ours:
+                return accepted
+            self.fillers.append(accepted)
+
+    def close(self) -> None:
+        for each in (self.listener, *self.fillers):
+            each.close()
+
+
 class ScriptedDiscovery(ScriptedServer):
     """Answers every call that may wait with silence until `tell`, and others with the list."""
 
--- /dev/null
+++ b/tests/test_late_dials.py
@@ -0,0 +1,341 @@
+"""What may have changed while a connection comes up: the write is judged, not the decision before it.
+
+Each peer that comes up late does so by `SlowToAccept.let_go`, so that what crosses the dial is done by then.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from typing import Any
+
+import pytest
+from loopback import (
+    OK,
+    Heard,
+    SlowToAccept,
+    Stage,
+    line,
+    play,
+    request,
+    stage,
+    until,
+)
+
+from magpiemux.interface import Limits, Outcome, Send
+from micadeck.catalog import parse_listing
+from micadeck.client import Message
+from micadeck.clock import Clock
+from micadeck.upstream import Call, Upstream
+
+LONG = {"dialTimeoutUs": 60_000_000}  # far longer than a test waits
+
+
+def at_the_sidecar(scene: Stage) -> int:
+    return scene.sidecar.open_requests
+
+
+@pytest.mark.parametrize("why", ["drains", "leaves", "client gone"])
+def test_nothing_is_written_when_a_dial_comes_up_too_late(why: str) -> None:
+    # Guards rule 3 (a drain that is told while the dial is under way) and an attempt that was called off.
+    async def work() -> None:
+        slow = SlowToAccept()
+        await slow.fill()
+        async with stage(bounds={"dialTimeoutUs": 15_000_000}) as scene:
+            await until(lambda: len(scene.discovery.heard) >= 2)
+            scene.discovery.tell(line("s", slow.address))
+            await until(lambda: len(scene.discovery.heard) >= 3)
+            client = await scene.client()
+            client.send(request("lodge", timeout="15"))
+            await until(lambda: at_the_sidecar(scene) == 1)
+            if why == "client gone":
+                client.close()
+                await until(lambda: at_the_sidecar(scene) == 0)
+            else:
+                scene.discovery.tell(line("s", slow.address, state="leaving" if why == "drains" else "left"))
+                await until(lambda: len(scene.discovery.heard) >= 4)
+            accepted = await slow.let_go()
+            if why == "client gone":
+                scene.sidecar.close()  # the connection itself is good and was kept
+            else:
+                assert (await client.answer()).status == 503
+            assert await asyncio.get_running_loop().sock_recv(accepted, 1_000) == b""
+            accepted.close()
+        slow.close()
+
+    play(work)
+
+
+@dataclass
+class Pool:
+    """Calls to one server that accepts late, and how they ended."""
+
+    upstream: Upstream
+    clock: Clock
+    slow: SlowToAccept
+    ends: list[Outcome]
+
+    def listed(self, **changes: Any) -> None:
+        listed = line("s-0", self.slow.address, **changes)
+        self.upstream.listed(parse_listing({"version": 1, "full": True, "servers": [listed]}))
+
+    def call(self, **how: Any) -> Call:
+        def message(left_us: int) -> Message:
+            return Message(b"GET", b"/", [(b"host", b"x")])
+
+        call = Call("s-0", 2**60, message, lambda outcome, _: self.ends.append(outcome), **how)
+        self.upstream.start(call)
+        return call
+
+    async def first_bytes(self) -> bytes:
+        """What is written once the dial comes up, until the pool is closed."""
+        accepted = await self.slow.let_go()
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.05, self.upstream.close)
+        with contextlib.closing(accepted):
+            return await loop.sock_recv(accepted, 1_000)
+
+
+@contextlib.asynccontextmanager
+async def late_pool(most: int = 4) -> AsyncIterator[Pool]:
+    slow = SlowToAccept()
+    await slow.fill()
+    clock = Clock()
+    pool = Pool(Upstream(clock, Limits(dial_timeout_us=60_000_000), most, lambda: None), clock, slow, [])
+    pool.listed()
+    try:
+        yield pool
+    finally:
+        pool.upstream.close()
+        slow.close()
+
+
+def test_a_call_whose_dial_comes_up_in_time_is_written() -> None:
+    async def work() -> None:
+        async with late_pool() as pool:
+            pool.call(begin_by=2**59)
+            assert (await pool.first_bytes()).startswith(b"GET / HTTP/1.1")
+
+    play(work)
+
+
+def test_a_repeat_whose_window_ends_during_the_dial_is_never_written() -> None:
+    # Guards rule 2: a keyed repeat was decided inside its window and written after it.
+    async def work() -> None:
+        async with late_pool() as pool:
+            pool.call(begin_by=pool.clock.now() + 30_000)
+            await until(lambda: pool.ends == [Outcome.UNSENT])  # proof that nothing ran, at once
+            assert await pool.first_bytes() == b""
+            assert pool.ends == [Outcome.UNSENT]
+
+    play(work)
+
+
+def test_a_window_that_is_over_at_the_draw_lets_nothing_be_dialled() -> None:
+    async def work() -> None:
+        async with late_pool() as pool:
+            pool.call(begin_by=pool.clock.now())
+            await until(lambda: pool.ends == [Outcome.UNSENT])
+            assert not pool.upstream._tasks
+
+    play(work)
+
+
+def test_a_server_that_changes_its_cell_during_the_dial_gets_no_repeat_drawn_by_it() -> None:
+    async def work() -> None:
+        async with late_pool() as pool:
+            pool.call()
+            pool.listed(cell=2)
+            assert await pool.first_bytes() == b""
+            assert pool.ends == [Outcome.UNSENT]
+
+    play(work)
+
+
+def test_a_call_that_nobody_waits_for_when_its_dial_comes_up_is_not_written() -> None:
+    async def work() -> None:
+        async with late_pool() as pool:
+            there = [True]
+            pool.call(is_wanted=lambda: there[0])
+            there[0] = False
+            assert await pool.first_bytes() == b""
+            assert pool.ends == [Outcome.UNSENT]
+
+    play(work)
+
+
+def test_calling_off_what_was_not_written_proves_that_it_never_ran() -> None:
+    async def work() -> None:
+        async with late_pool() as pool:
+            call = pool.call()
+            pool.upstream.cancel(call)
+            pool.upstream.withdraw(call)
+            await until(lambda: pool.ends == [Outcome.UNSENT])
+            assert await pool.first_bytes() == b""
+
+    play(work)
+
+
+def test_a_dial_that_outlives_its_call_counts_against_the_descriptors_and_is_kept() -> None:
+    async def work() -> None:
+        async with late_pool(most=1) as pool:
+            pool.upstream.withdraw(pool.call())
+            pool.call()  # no room: the first is still coming up
+            await until(lambda: pool.ends == [Outcome.UNSENT] * 2)
+            accepted = await pool.slow.let_go()
+            await until(lambda: not pool.upstream._tasks and len(pool.upstream._owners) == 1)
+            pool.call()  # goes over what has come up
+            assert (await asyncio.get_running_loop().sock_recv(accepted, 1_000)).startswith(b"GET /")
+            accepted.close()
+
+    play(work)
+
+
+@pytest.mark.parametrize("may_cancel", [True, False])
+@pytest.mark.parametrize("how", ["end", "reset"])
+def test_a_client_that_leaves_during_the_dial_is_not_sent_on(may_cancel: bool, how: str) -> None:
+    # Guards the operators' 0.3 s.  Where attempts may not be cancelled, one that is not written is none yet.
+    async def work() -> None:
+        slow = SlowToAccept()
+        await slow.fill()
+        async with stage(bounds={**LONG, "mayCancel": may_cancel}) as scene:
+            await until(lambda: len(scene.discovery.heard) >= 2)
+            scene.discovery.tell(line("s", slow.address))
+            await until(lambda: len(scene.discovery.heard) >= 3)
+            client = await scene.client()
+            client.send(request("lodge", timeout="50"))
+            await until(lambda: at_the_sidecar(scene) == 1)
+            if how == "end":
+                client.close()
+            else:
+                client.writer.transport.abort()
+            await until(lambda: at_the_sidecar(scene) == 0)
+            accepted = await slow.let_go()
+            scene.sidecar.close()  # the connection itself is good and was kept
+            assert await asyncio.get_running_loop().sock_recv(accepted, 1_000) == b""
+            accepted.close()
+        slow.close()
+
+    play(work)
+
+
+def test_a_burst_of_clients_that_leave_during_dials_leaves_nothing_behind() -> None:
+    async def work() -> None:
+        slow = SlowToAccept()
+        await slow.fill()
+        async with stage(OK, bounds={**LONG, "mayCancel": False}) as scene:
+            await until(lambda: len(scene.discovery.heard) >= 2)
+            scene.discovery.tell(
+                line("s", slow.address), line("s-0", scene.servers[0].address, state="leaving")
+            )
+            await until(lambda: len(scene.discovery.heard) >= 3)
+            for _ in range(20):
+                (await scene.client()).send(request("lodge", timeout="50"))
+            await until(lambda: at_the_sidecar(scene) == 20)
+            for client in scene.clients:
+                client.close()
+            await until(lambda: at_the_sidecar(scene) == 0)
+            assert scene.sidecar._owed == 0 and scene.heard == []
+            scene.discovery.tell(line("s-0", scene.servers[0].address, started_ms=1))
+            await until(lambda: len(scene.discovery.heard) >= 4)
+            scene.discovery.tell(line("s", slow.address, state="left"))
+            await until(lambda: len(scene.discovery.heard) >= 5)
+            assert (await scene.ask("lodge")).status == 200
+        slow.close()
+
+    play(work)
+
+
+def test_a_client_that_leaves_while_its_long_body_is_held_back_is_noticed() -> None:
+    # Guards against a request that waits in a dial while its client, not read from, is long gone.
+    async def work() -> None:
+        slow = SlowToAccept()
+        await slow.fill()
+        async with stage(bounds=LONG) as scene:
+            await until(lambda: len(scene.discovery.heard) >= 2)
+            scene.discovery.tell(line("s", slow.address))
+            await until(lambda: len(scene.discovery.heard) >= 3)
+            client = await scene.client()
+            client.send(request("lodge", timeout="50", body=b"x" * 70_000, Content_Length="200000"))
+            await until(lambda: [each._held_since for each in scene.sidecar.frontend._connections] != [None])
+            client.close()
+            await until(lambda: at_the_sidecar(scene) == 0)
+            accepted = await slow.let_go()
+            scene.sidecar.close()
+            assert await asyncio.get_running_loop().sock_recv(accepted, 1_000) == b""
+            accepted.close()
+        slow.close()
+
+    play(work)
+
+
+def test_an_outcome_that_ends_a_request_while_its_repeat_dials_calls_that_off() -> None:
+    # Guards rule 1 on the socket: the second copy would be written for a request that has its answer.
+    async def work() -> None:
+        slow = SlowToAccept()
+        await slow.fill()
+        release = asyncio.Event()
+
+        async def hold(heard: Heard) -> bytes:
+            await release.wait()
+            return OK
+
+        def hurried(scene: Stage) -> bool:
+            return bool(scene.heard) and scene.sidecar._upstream._dialling > 0
+
+        bounds = {**LONG, "mayCancel": False, "secondCopies": True, "sendCap": 2}
+        async with stage(hold, hold, hold, bounds=bounds) as scene:
+            await until(lambda: len(scene.discovery.heard) >= 2)
+            balancer = scene.sidecar._balancer
+            asked = asyncio.get_running_loop().create_task(scene.ask("check", timeout="20"))
+            await until(lambda: len(scene.heard) == 1)
+            (number,) = scene.sidecar._open
+            scene.discovery.tell(line("s", slow.address))
+            await until(lambda: balancer.knows("s"))
+            scene.sidecar._carry_out(Send(number, "s", 2**60))  # as the decisions do for an overdue attempt
+            await until(lambda: hurried(scene))
+            release.set()
+            assert (await asked).status == 200
+            await until(lambda: at_the_sidecar(scene) == 0)
+            accepted = await slow.let_go()
+            scene.sidecar.close()
+            assert await asyncio.get_running_loop().sock_recv(accepted, 1_000) == b""
+            accepted.close()
+        slow.close()
+
+    play(work)
+
+
+def test_a_keyed_repeat_whose_window_ends_while_it_dials_is_answered_as_failed() -> None:
+    # The whole way: first attempt broken, so it may have run; the repeat dials until the window is over.
+    async def work() -> None:
+        slow = SlowToAccept()
+        await slow.fill()
+
+        async def broken(heard: Heard) -> None:
+            heard.writer.transport.abort()
+
+        kind = {
+            "name": "amend",
+            "giveUpUs": 30_000_000,
+            "promiseUs": 600_000,
+            "repeat": "idempotency_key",
+            "group": "all",
+            "memorySpanUs": 300_000,
+        }
+        async with stage(broken, bounds=LONG, lanes=[kind]) as scene:
+            await until(lambda: len(scene.discovery.heard) >= 2)
+            client = await scene.client()
+            client.send(request("amend", timeout="25"))
+            await until(lambda: len(scene.heard) == 1)
+            scene.discovery.tell(line("s", slow.address))
+            answer = await client.answer()
+            assert answer.status in (502, 503, 504)
+            await until(lambda: at_the_sidecar(scene) == 0)
+            scene.sidecar.close()
+            assert len(scene.heard) == 1
+        slow.close()
+
+    play(work)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -218,6 +218,41 @@
     assert waits[-1] > 2 * waits[0]
 
 
+def test_a_repeat_says_by_when_its_first_byte_has_to_leave() -> None:
+    # Guards rule 2 where a dial lies between the decision and the write.
+    stage = Stage()
+    stage.servers(cells())
+    for kind, outcome, window in (
+        ("look", Outcome.DROPPED, None),
+        ("amend", Outcome.DROPPED, 2 * S),
+        ("amend", Outcome.DIAL_FAILED, None),
+        ("pay", Outcome.DIAL_FAILED, None),
+    ):
+        request = stage.request(kind)
+        sent_at, first = stage.sends(request)[0]
+        assert first.begin_by == first.until
+        stage.wait(100 * MS)
+        stage.end(request, outcome)
+        _, repeat = stage.sends(request)[1]
+        assert repeat.begin_by == (
+            repeat.until if window is None else min(sent_at + window - 5 * MS, first.until)
+        )
+
+
+def test_a_keyed_repeat_stays_in_the_cell_that_its_first_attempt_was_sent_to() -> None:
+    # The list moves the first server into the other cell meanwhile: what it was sent to was the old one.
+    for seed in range(6):
+        stage = Stage(seed=seed)
+        stage.servers(cells())
+        cell_of = {each.server: each.cell for each in cells()}
+        request = stage.request("amend")
+        first = stage.target(request)
+        moved = ListedServer(first, zone="east", cell=1 - cell_of[first])
+        stage.servers([moved], ListKind.CHANGES)
+        stage.end(request, Outcome.DROPPED)
+        assert cell_of[stage.target(request)] == cell_of[first] and stage.target(request) != first
+
+
 def _calls_of_a_tier(group_size: int) -> list[int]:
     """How often each balancer of the tier asks in 20 s, when every call fails."""
     calls = []
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -3,20 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 
 import pytest
 from loopback import (
     ERROR,
     FULL,
-    HOST,
     OK,
     Heard,
     ScriptedServer,
     Stage,
     line,
     play,
-    request,
     stage,
     until,
 )
@@ -164,74 +161,6 @@
     play(work)
 
 
-class SlowToAccept:
-    """A server whose connections come up late: its line for new ones is full until it is let go."""
-
-    def __init__(self) -> None:
-        self.listener = socket.socket()
-        self.listener.bind((HOST, 0))
-        self.listener.listen(0)
-        self.fillers: list[socket.socket] = []
-
-    @property
-    def address(self) -> str:
-        return f"{HOST}:{self.listener.getsockname()[1]}"
-
-    async def fill(self) -> None:
-        for _ in range(3):
-            filler = socket.socket()
-            filler.setblocking(False)
-            filler.connect_ex(self.listener.getsockname())
-            self.fillers.append(filler)
-        await asyncio.sleep(0.05)
-
-    async def let_go(self) -> socket.socket:
-        """Accept until the sidecar's own connection comes up; give it."""
-        ours = {each.getsockname() for each in self.fillers}
-        self.listener.setblocking(False)
-        loop = asyncio.get_running_loop()
-        while True:
-            accepted, address = await loop.sock_accept(self.listener)
-            if address not in ours:
-                return accepted
-            self.fillers.append(accepted)
-
-    def close(self) -> None:
-        for each in (self.listener, *self.fillers):
-            each.close()
-
-
-@pytest.mark.parametrize("why", ["drains", "leaves", "client gone"])
-def test_nothing_is_written_when_a_dial_comes_up_too_late(why: str) -> None:
-    # Guards rule 3 (a drain that is told while the dial is under way) and an attempt that was called off.
-    async def work() -> None:
-        slow = SlowToAccept()
-        await slow.fill()
-        async with stage(bounds={"dialTimeoutUs": 15_000_000}) as scene:
-            await until(lambda: len(scene.discovery.heard) >= 2)
-            scene.discovery.tell(line("s", slow.address))
-            await until(lambda: len(scene.discovery.heard) >= 3)
-            client = await scene.client()
-            client.send(request("lodge", timeout="15"))
-            await until(lambda: at_the_sidecar(scene) == 1)
-            if why == "client gone":
-                client.close()
-                await until(lambda: at_the_sidecar(scene) == 0)
-            else:
-                scene.discovery.tell(line("s", slow.address, state="leaving" if why == "drains" else "left"))
-                await until(lambda: len(scene.discovery.heard) >= 4)
-            accepted = await slow.let_go()
-            if why == "client gone":
-                scene.sidecar.close()  # the connection itself is good and was kept
-            else:
-                assert (await client.answer()).status == 503
-            assert await asyncio.get_running_loop().sock_recv(accepted, 1_000) == b""
-            accepted.close()
-        slow.close()
-
-    play(work)
-
-
 def test_no_more_connections_than_there_is_room_for() -> None:
     # Guards against running out of descriptors; what finds no room was not sent.
     async def work() -> None:
