End clients' connections by one table: half-close, linger, throw away what still comes

(2) A connection at rest was shut and closed in one go, so a request that crossed was answered by a reset. (3) At SIGTERM the listening socket was closed over connections that the system had accepted and this process had not: they were reset with what they had sent. (4) Clients that brought nothing were let go only once nobody was owed an answer. (5) After the last 504s the process ended in the same round of the event loop.

Change: the life of a client's connection is one table (Phase, NEXT_PHASES) and `_enter` holds the code to it. Room for newcomers is made by others first. The listener takes in what waits before it closes; a drain ends when nothing is open, or with 0.08 s for the last words. What has no answer on its way and must free its descriptor is turned away as before.

--- a/micadeck/frontend.py
+++ b/micadeck/frontend.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 from collections.abc import Callable
+from enum import Enum, unique
 from itertools import islice, takewhile
 from typing import cast
 
@@ -39,6 +40,30 @@
 _CLOSE = (b"connection", b"close")
 
 
+@unique
+class Phase(Enum):
+    """Where in its life a client's connection is."""
+
+    READING = "reading"  # a request is awaited for the first time, or is coming
+    OWED = "owed"  # it was taken: one answer is owed
+    PASSING = "passing"  # its answer has begun and passes through
+    RESTING = "resting"  # it was answered, and nothing of a further one has come
+    LINGERING = "lingering"  # our side has ended; what the client still sends is thrown away
+    CLOSED = "closed"
+
+
+# The whole life; `_enter` holds the code to it.  Any connection may be lost or cut at any time.  What ends
+# with an answer on its way ends by lingering, and nothing is read as a request after that.
+NEXT_PHASES = {
+    Phase.READING: {Phase.OWED, Phase.RESTING, Phase.LINGERING, Phase.CLOSED},
+    Phase.OWED: {Phase.PASSING, Phase.RESTING, Phase.LINGERING, Phase.CLOSED},
+    Phase.PASSING: {Phase.RESTING, Phase.LINGERING, Phase.CLOSED},
+    Phase.RESTING: {Phase.READING, Phase.LINGERING, Phase.CLOSED},
+    Phase.LINGERING: {Phase.CLOSED},
+    Phase.CLOSED: set(),
+}
+
+
 class ClientSide(BoundedReader):
     """One connection of the application, one request at a time."""
 
@@ -62,6 +87,7 @@
         self._owed: int | None = None  # the open request
         self._is_writing_paused = False
         self._ended = False  # no more is read from it
+        self.phase = Phase.READING
 
     @property
     def is_idle(self) -> bool:
@@ -70,6 +96,11 @@
             return False
         return self._wire is not None and self._wire.is_quiet()
 
+    def _enter(self, phase: Phase) -> None:
+        if phase is not self.phase:
+            assert phase in NEXT_PHASES[self.phase], f"{self.phase.value} to {phase.value}"
+            self.phase = phase
+
     # What the sidecar calls
 
     def answer(self, status: int, headers: Headers, body: bytes) -> None:
@@ -111,6 +142,7 @@
             headers = [*headers, (b"content-length", b"%d" % length)]
         elif is_framed:
             headers = [*headers, CHUNKED]
+        self._enter(Phase.PASSING)
         self._is_chunked, self._left = is_framed and length is None, length
         self._transport.set_write_buffer_limits(high=self._frontend.part)
         self._source = source
@@ -135,7 +167,7 @@
         if self._transport is None or self._transport.is_closing():
             return
         if self._left:
-            self._transport.abort()  # it is shorter than its head says
+            self.abort()  # it is shorter than its head says
             return
         if self._is_chunked:
             self._transport.write(LAST_CHUNK)
@@ -143,47 +175,70 @@
 
     def _answered(self, closing: bool) -> None:
         assert self._transport is not None
-        if self._ended:
-            self._hang_up()
-        elif self._http.is_reusable and not closing:
+        if self._http.is_reusable and not closing and not self._ended:
+            self._enter(Phase.RESTING)
             self._http.start_next()
             self._request = None
             self._body = bytearray()
             if not self._is_writing_paused:
                 self._frontend.at_rest(self)
         else:
-            self._transport.close()
+            self._hang_up()
 
     def close(self) -> None:
-        if self._transport is None:
+        """End a connection at rest; a request that crosses its end is read by nobody, and sent on by none."""
+        if self._transport is None or self._ended:
             return
-        is_open = not self._transport.is_closing() and not self._transport.get_write_buffer_size()
-        if is_open and self._wire is not None:
-            self._wire.end()  # at once: a close waits for its turn in the event loop
-        self._transport.close()
+        if not self._transport.is_closing() and not self._transport.get_write_buffer_size():
+            assert self._wire is not None
+            self._wire.end()  # at once: the transport's own end waits for its turn in the event loop
+        self._hang_up()
 
     def abort(self) -> None:
         """Cut the connection, and drop what is still to be written."""
+        self._enter(Phase.CLOSED)
         self._ended = True
         if self._transport is not None:
             self._transport.abort()
 
-    def overdue(self) -> None:
+    def turn_away(self) -> None:
+        """End a connection that has brought nothing and has no answer on its way, and free its descriptor."""
+        if self._transport is None:
+            return
+        if not self._transport.is_closing() and self._wire is not None:
+            self._wire.end()
+        self._enter(Phase.CLOSED)
+        self._ended = True
+        self._transport.close()
+
+    def overdue(self, now: float) -> None:
         """The client had its time to send a request, to read its answer or to hang up."""
-        if self._ended or self._is_writing_paused:
+        if self.phase is Phase.LINGERING and self.is_taking and not self._takes_nothing(now):
+            self._frontend.waits_for(self)
+        elif self._ended or self._is_writing_paused:
             self.abort()
         elif self._request is None and self._http.is_between:
-            self.close()
+            self.turn_away()
         else:
             self._reject(408)
 
+    @property
+    def is_taking(self) -> bool:
+        """Whether some of what was written has not arrived at the client."""
+        is_open = self._transport is not None and not self._transport.is_closing()
+        return is_open and self._unread_bytes() > 0
+
+    def _takes_nothing(self, now: float) -> bool:
+        """Whether the client has taken nothing of what was written for it for too long."""
+        unread = self._unread_bytes()
+        if unread < self._unread or not self._unread:
+            self._unread, self._unread_since = unread, now
+        return now - self._unread_since > (STALLED_S if self._is_long else _WITHIN_S)
+
     def is_stalled(self, now: float) -> bool:
         """Whether the client is too slow in sending a body, or in reading an answer that passes through."""
         if self._is_writing_paused:
-            unread = self._unread_bytes()
-            if unread < self._unread or not self._unread:
-                self._unread, self._unread_since = unread, now
-            return now - self._unread_since > (STALLED_S if self._is_long else _WITHIN_S)
+            return self._takes_nothing(now)
         if not self._http.is_in_body or self._ended:
             return False
         if self._held_since is not None:
@@ -201,7 +256,7 @@
     @property
     def is_sending(self) -> bool:
         """Whether the client is sending a body of which nothing was sent on."""
-        return self._owed is None and self._request is not None and not self._is_writing_paused
+        return self.phase is Phase.READING and self._request is not None and not self._is_writing_paused
 
     def lag(self, now: float) -> float:
         """How long the client has taken beyond what the body needs at the least pace."""
@@ -233,6 +288,7 @@
                 return
             if self._frontend.at_work(self):
                 self._began = asyncio.get_running_loop().time()
+            self._enter(Phase.READING)
         self._http.receive(data)
         self._advance()
 
@@ -251,6 +307,8 @@
             self._transport.resume_reading()
         if self._source is not None:
             self._source.resume()
+        elif self.phase is Phase.LINGERING:
+            self._frontend.waits_for(self)
         elif not self._ended:
             self._frontend.taken(self)
             if self._owed is None and self._request is None:
@@ -262,6 +320,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._gone()
+        self._enter(Phase.CLOSED)
         self._ended = True
         self._frontend.closed(self)
         if self._wire is not None:
@@ -310,6 +369,7 @@
     def _begun(self, head: RequestHead) -> None:
         """A head came: its body follows."""
         assert self._transport is not None
+        self._enter(Phase.READING)
         self._request = head
         self._received = 0
         self._is_long = False
@@ -352,6 +412,7 @@
         owed = self._frontend.arrived(self, incoming)
         if self._upload is not None:  # else it has its answer already
             self._owed = owed
+            self._enter(Phase.OWED)
 
     def _uploaded(self) -> None:
         """The last byte of such a body is here."""
@@ -411,6 +472,8 @@
         assert self._wire is not None
         incoming.remaining_us = max(incoming.remaining_us - self._wire.unread_us(), 1)
         self._owed = self._frontend.arrived(self, incoming)
+        if self._owed is not None:
+            self._enter(Phase.OWED)
 
     def _reject(self, status: int, why: bytes = b"") -> None:
         """Answer what is no request of this protocol, then hang up: no more of it may pass for one."""
@@ -421,15 +484,21 @@
         self.answer(status, [], why)
 
     def _hang_up(self) -> None:
-        """End our side and let the client finish sending, for a while.
+        """End our side and let the client finish sending, for a while; what still comes is thrown away.
 
-        Guards against cutting the connection under an answer: with bytes unread, a close resets it, and the
-        client may never see why.
+        The one way to end a connection that may have an answer on its way.  Guards against cutting it under
+        that answer: with bytes unread, a close resets the connection, and the client may never see why.
         """
         assert self._transport is not None
+        self._ended = True
+        if self._transport.is_closing():
+            return
         if self._transport.can_write_eof():
             self._transport.write_eof()  # behind what is still to be written
-        self._frontend.waits_for(self)
+        self._enter(Phase.LINGERING)
+        self._unread = 0  # measured from now on
+        if not self._is_writing_paused:
+            self._frontend.waits_for(self)
 
 
 def _older(since: dict[ClientSide, float], than: float) -> list[ClientSide]:
@@ -477,7 +546,7 @@
 
     @property
     def takes_clients(self) -> bool:
-        return self._listener is not None and not self.is_draining
+        return self._listener is not None and self._listener.is_open and not self.is_draining
 
     def read(self, head: RequestHead, body: bytes | Upload) -> Incoming:
         return read_request(head, body, self._classes, self._tenants)
@@ -501,10 +570,10 @@
             if each.is_idle:
                 each.close()
 
-    def stop_listening(self) -> None:
-        listener, self._listener = self._listener, None
-        if listener is not None:
-            listener.close()
+    def stop_listening(self, *, accept_the_rest: bool = False) -> None:
+        """Accept no more; `accept_the_rest`: but what the system has accepted already."""
+        if self._listener is not None:
+            self._listener.close(accept_the_rest=accept_the_rest)
 
     @property
     def is_passing_on(self) -> bool:
@@ -515,12 +584,17 @@
     def open_connections(self) -> int:
         return len(self._connections)
 
+    @property
+    def is_deserted(self) -> bool:
+        """Whether there is no connection, nor one that is just being accepted."""
+        return not self._connections and (self._listener is None or not self._listener.being_accepted)
+
     # What connections report
 
     def opened(self, connection: ClientSide) -> None:
         self.last_opened = asyncio.get_running_loop().time()
         if len(self._connections) >= self._most and not self._make_room():
-            connection.close()  # all others are owed an answer
+            connection.turn_away()  # all others are owed an answer
             return
         self._connections[connection] = None
         self.waits_for(connection)
@@ -563,10 +637,10 @@
         """
         for each in _older(self._waiting, now - _WITHIN_S):
             del self._waiting[each]
-            each.overdue()
+            each.overdue(now)
         for each in [each for each in self._watched if each.is_stalled(now)]:
             self._watched.pop(each, None)
-            each.overdue()
+            each.overdue(now)
         for each in _older(self._at_rest, now - _AT_REST_S):
             if each.is_idle:
                 each.close()
@@ -591,7 +665,7 @@
 
         Looks at few: with all of them polled for each newcomer, a rush leaves no time to answer anybody.
         """
-        waiting = next(iter(self._waiting), None)
+        waiting = next((each for each in islice(self._waiting, _LOOKS) if not each.is_taking), None)
         late = waiting is not None and self.last_opened - self._waiting[waiting] > _YOUNG_S
         resting = next((each for each in islice(self._at_rest, _LOOKS) if each.is_idle), None)
         sending = [each for each in islice(self._watched, _LOOKS) if each.is_sending]
@@ -600,7 +674,7 @@
         if spare is None:
             return False
         if spare is resting:
-            spare.close()
+            spare.turn_away()
         else:
             spare.abort()  # it may hold what its client does not read
         self.closed(spare)
--- a/micadeck/listener.py
+++ b/micadeck/listener.py
@@ -68,37 +68,61 @@
     def port(self) -> int:
         return int(self._socket.getsockname()[1])
 
-    def close(self) -> None:
-        """Stop accepting; what was accepted lives on."""
+    @property
+    def is_open(self) -> bool:
+        return self._socket.fileno() >= 0
+
+    @property
+    def being_accepted(self) -> int:
+        """Connections that were accepted and have not been handed on yet."""
+        return len(self._tasks)
+
+    def close(self, *, accept_the_rest: bool = False) -> None:
+        """Stop accepting; what was accepted lives on.
+
+        A connection that still waits in the system's queue is reset by the end of its listening socket, and
+        what its client has sent with it; `accept_the_rest` takes those in first.
+        """
         if self._again is not None:
             self._again.cancel()
-        if self._socket.fileno() >= 0:
-            self._loop.remove_reader(self._socket)
-            self._socket.close()
+        if not self.is_open:
+            return
+        self._loop.remove_reader(self._socket)
+        for _ in range(_BACKLOG if accept_the_rest else 0):
+            if not self._accept_one():
+                break
+        self._socket.close()
 
     def _accept_more(self) -> None:
         self._again = None
-        self._loop.add_reader(self._socket, self._accept)
+        if self.is_open:
+            self._loop.add_reader(self._socket, self._accept)
 
     def _accept(self) -> None:
         for _ in range(_AT_ONCE):
-            try:
-                connection, _ = self._socket.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return  # nobody is there, or another process was quicker
-            except OSError as fault:
-                if fault.errno not in _NO_ROOM:
-                    raise
-                self._loop.remove_reader(self._socket)
-                self._again = self._loop.call_later(_AGAIN_S, self._accept_more)
+            if not self._accept_one():
                 return
-            if _has_left(connection):
-                # Guards against collapse: in a rush many give up while they queue, and cost no less.
-                connection.close()
-                continue
-            connection.setblocking(False)
-            task: asyncio.Task[object] = self._loop.create_task(
-                self._loop.connect_accepted_socket(self._made, connection)
-            )
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+
+    def _accept_one(self) -> bool:
+        """Accept a connection; say whether there may be more."""
+        try:
+            connection, _ = self._socket.accept()
+        except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            return False  # nobody is there, or another process was quicker
+        except OSError as fault:
+            if fault.errno not in _NO_ROOM:
+                raise
+            self._loop.remove_reader(self._socket)
+            self._again = self._loop.call_later(_AGAIN_S, self._accept_more)
+            return False
+        if _has_left(connection):
+            # Guards against collapse: in a rush many give up while they queue, and cost no less.
+            connection.close()
+            return True
+        connection.setblocking(False)
+        task: asyncio.Task[object] = self._loop.create_task(
+            self._loop.connect_accepted_socket(self._made, connection)
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return True
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -76,7 +76,8 @@
 _KILLED_AFTER_S = 0.7  # SIGKILL comes no sooner after SIGTERM than this and the longest deadline
 _LONGEST_DEADLINE_S = 3.0  # as far as that is counted
 _LONG_ANSWERS_S = 600.0  # and the longest that an answer which passes through may hold up the end
-_SPARE_S = 0.1  # of that time, kept for writing the last answers
+_SPARE_S = 0.1  # of that time, kept for the last answers
+_LAST_WORDS_S = 0.08  # and as much of that for their clients to take them
 
 
 class _Open:
@@ -234,10 +235,9 @@
         if self._held is None:
             await self._hear_newcomers(began)
         # A socket that the platform holds goes on queueing, and the successor accepts what comes.
-        self.frontend.stop_listening()
-        while (self._owed or self.frontend.open_connections) and loop.time() < began + left_s:
-            if not self._owed:
-                self.frontend.close_idle()
+        self.frontend.stop_listening(accept_the_rest=self._held is None)
+        while (self._owed or not self.frontend.is_deserted) and loop.time() < began + left_s:
+            self.frontend.close_idle()
             await asyncio.sleep(0.01)
         for request, held in list(self._open.items()):
             if held.streaming is None:
@@ -246,7 +246,10 @@
         # off loses it.
         while self.frontend.is_passing_on and loop.time() < began + _LONG_ANSWERS_S:
             await asyncio.sleep(0.01)
-        await asyncio.sleep(0)
+        # The last answers leave, and their clients hang up: the end of the process resets what is open.
+        ends = loop.time() + _LAST_WORDS_S
+        while not self.frontend.is_deserted and loop.time() < ends:
+            await asyncio.sleep(0.005)
         self.close()
 
     async def _hear_newcomers(self, began: float) -> None:
