Hear the other process before each write, and name what a reload leaves as it was

Need: hand-overs and reloads, read line by line. (1) At an upgrade an operator's `exclude` said to one process reached the other by a look at the file every 0.1 s: for that long after the yes new work could go to the server. (2) SIGHUP with a file that carries other settings took none of them, and did not say so; membership switched on by it took the new file's tier and seed beside the old number. (3) The operators' door closed plainly behind its answer: over bytes unread that is a reset.

Change: where the platform holds the listening socket, the file is looked at before each write (one stat). A reload says which keys it left, and membership is made of what the start said. The door half-closes.

Each of the four tests for these was seen to fail without its line. Classes that share a prefix, unheard-of tenants and limits at their extremes held before: ruled out, and kept as tests.

--- a/micadeck/__main__.py
+++ b/micadeck/__main__.py
@@ -51,7 +51,9 @@
     except ConfigError as fault:
         log(f"kept the configuration: {fault}".replace("\n", " "))
         return
-    sidecar.reconfigure(config)
+    kept = sidecar.reconfigure(config)
+    if kept:
+        log(f"left as it was until a restart: {', '.join(kept)}")
     log(f"re-read the configuration: discovery is at {config.discovery[0]}:{config.discovery[1]}")
 
 
--- a/micadeck/console.py
+++ b/micadeck/console.py
@@ -173,7 +173,9 @@
         if self._request is None or self._request.method != b"HEAD":
             self._write(content)
         if self._transport is not None:
-            self._transport.close()  # and if the answer is not read, the deadline cuts it
+            # What the caller still sends is thrown away: a close over it would reset the answer.  If the
+            # caller does not hang up, the deadline cuts it.
+            self._transport.write_eof()
 
     def _write(self, data: bytes) -> None:
         if self._transport is not None:
--- a/micadeck/handover.py
+++ b/micadeck/handover.py
@@ -26,6 +26,7 @@
         self._log = log
         self._seen: tuple[int, int] | None = None  # which file was read last
         self._looking: asyncio.TimerHandle | None = None
+        self._on_news: Callable[[frozenset[str]], None] | None = None
 
     def read(self) -> frozenset[str] | None:
         """The servers taken out; None if there is no word of it, or none that makes sense."""
@@ -53,15 +54,19 @@
 
     def watch(self, on_news: Callable[[frozenset[str]], None]) -> None:
         """Look again and again whether another process changed it."""
-
-        def look() -> None:
-            self._looking = asyncio.get_running_loop().call_later(_LOOK_EVERY_S, look)
-            if self._has_changed():
-                out = self.read()
-                if out is not None:
-                    on_news(out)
-
-        look()
+        self._on_news = on_news
+        self._look_again()
+
+    def look(self) -> None:
+        """Hear at once what another process has written, if this one watches."""
+        if self._on_news is not None and self._has_changed():
+            out = self.read()
+            if out is not None:
+                self._on_news(out)
+
+    def _look_again(self) -> None:
+        self._looking = asyncio.get_running_loop().call_later(_LOOK_EVERY_S, self._look_again)
+        self.look()
 
     def close(self) -> None:
         if self._looking is not None:
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -63,8 +63,12 @@
 
 if TYPE_CHECKING:
     from micadeck.members import Members
+    from micadeck.tier.settings import MembershipSettings
     from micadeck.tier.view import Size
 
+# What a process keeps from its start to its end, whatever its file says later.  Not among them: `known` and
+# `seed`, which are new in each file and say what a start begins with.
+_FIXED = ("name", "listen", "settings", "sockets", "memory_mb", "peer_listen", "tier", "console")
 _RESERVED = 48  # descriptors for everything but clients, servers and the operators' door
 _FOR_CLIENTS = 1 / 3  # of all, as the platform's terms allow at the most
 _FOR_CLIENTS_LEFT = 0.5  # and of what is not reserved, where that is less
@@ -128,7 +132,9 @@
             config.settings, for_clients, memory_mb, self._arrived, self._completed, self._gone
         )
         limits, written = config.settings.limits, self._telemetry.attempted
-        self._upstream = Upstream(self._clock, limits, for_servers, written)
+        # The other process of an upgrade may have said yes to an operator since the last look.
+        hear_the_other = self._handover.look if self._handover is not None and held is not None else None
+        self._upstream = Upstream(self._clock, limits, for_servers, written, hear_the_other)
         self._discovery = discovery.Discovery(
             config.discovery,
             config.known,
@@ -170,7 +176,7 @@
         """Take up the last known list, then listen."""
         if self._settings.limits.may_message and self._config.peer_listen is not None:
             await self._peers.listen(self._config.peer_listen, shared=self._held is not None)
-            self._keep_track(self._config)
+            self._keep_track(self._config.membership)
         if self.console is not None and self._config.console is not None:
             await self.console.listen(self._config.console)
         self._upstream.listed(self._config.known)
@@ -185,12 +191,16 @@
         await self._discovery.first_word(_FIRST_WORD_S)
         self.frontend.listen(self._held or bound(self._config.listen))
 
-    def reconfigure(self, config: Config) -> None:
-        """Take over what may change while running: where discovery and the others are, and membership."""
+    def reconfigure(self, config: Config) -> list[str]:
+        """Take over what may change while running: where discovery and the others are, and membership.
+
+        All else stays wholly as it was; give the keys of which the file says something else.
+        """
         self._discovery.move(config.discovery)
         self._peers.move(config.peers, config.peers_all)
         if self._peers.is_listening and self._stop_by is None:
-            self._keep_track(config)
+            self._keep_track(config.membership)
+        return [key for key in _FIXED if getattr(config, key) != getattr(self._config, key)]
 
     def _tier_sized(self, size: Size) -> None:
         """The others' number is told to the decisions where it changed."""
@@ -199,19 +209,17 @@
             self._told_size = told
             self._post(told)
 
-    def _keep_track(self, config: Config) -> None:
-        """Keep track of the other sidecars as the configuration says."""
+    def _keep_track(self, membership: MembershipSettings) -> None:
+        """Keep track of the other sidecars as these settings say."""
         if self._members is None:
-            if not config.membership.on:
+            if not membership.on:
                 return
             # Not at the top: what it needs takes 2 MB, which a sidecar without it need not have.
             from micadeck.members import Members
 
-            me, log = self._settings.me, self._log
-            self._members = Members(
-                me, config.tier, config.seed, self._clock, self._peers, log, self._tier_sized
-            )
-        self._members.configure(config.membership)
+            me, log, own = self._settings.me, self._log, self._config
+            self._members = Members(me, own.tier, own.seed, self._clock, self._peers, log, self._tier_sized)
+        self._members.configure(membership)
 
     @property
     def open_requests(self) -> int:
--- a/micadeck/upstream.py
+++ b/micadeck/upstream.py
@@ -95,8 +95,16 @@
 class Upstream:
     """All connections to servers, `most` at once."""
 
-    def __init__(self, clock: Clock, limits: Limits, most: int, on_written: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        limits: Limits,
+        most: int,
+        on_written: Callable[[], None],
+        before_writing: Callable[[], None] | None = None,
+    ) -> None:
         self._clock = clock
+        self._before_writing = before_writing  # hears what could forbid it
         self._on_written = on_written  # a request's last byte left for a server
         self._dial_within_s = limits.dial_timeout_us / 1e6
         self._use_within_us = int(limits.idle_close_us * (1.0 - _IDLE_MARGIN))
@@ -180,6 +188,8 @@
         What was decided before a dial may be over after it: the class's window for repeats, the deadline, the
         server's time (rule 3), the request itself, or the client's patience.
         """
+        if self._before_writing is not None:
+            self._before_writing()
         now = self._clock.now()
         if call.ended or now >= call.begin_by or now >= call.until:
             return False
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,197 @@
+"""SIGHUP and the other process of an upgrade: what changes, and what stays wholly as it was."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+from pathlib import Path
+
+import pytest
+from loopback import CLASSES, HOST, OK, ScriptedDiscovery, line, play, request, soon, stage, until
+from loopback import ScriptedServer as Server
+from test_program import GOOD, program
+
+from micadeck.config import parse
+from micadeck.handover import Handover
+from micadeck.listener import inherited
+from micadeck.sidecar import Sidecar
+
+
+def test_a_reload_that_carries_other_settings_takes_none_of_them_and_says_so(tmp_path: Path) -> None:
+    # Guards against a request that picks up another customer's settings, in part or in whole.
+    async def work() -> None:
+        path = tmp_path / "config.json"
+        async with program(OK, tmp_path) as running:
+            stderr = running.process.stderr
+            assert stderr is not None
+            other = ScriptedDiscovery()
+            await other.start()
+            given = json.loads(path.read_text())
+            other.servers = given["known"]["servers"]
+            lanes = [{**each, "name": f"{each['name']}-2", "repeat": "read_like"} for each in CLASSES]
+            given["settings"] = {**given["settings"], "lanes": lanes, "zone": "b"}
+            given["limits"] = {**given["limits"], "sockets": 200}
+            path.write_text(json.dumps({**given, "discovery": other.address, "seed": "77"}))
+            running.process.send_signal(signal.SIGHUP)
+            told = (await soon(stderr.readline())).decode()
+            assert told == "left as it was until a restart: settings, sockets\n"
+            assert (await soon(stderr.readline())).startswith(b"re-read the configuration")
+            await until(lambda: len(other.heard) >= 2)  # and what may change has
+            client = await running.client()
+            assert (await client.ask("lodge")).status == 200
+            client.send(request("lodge", Request_Class="lodge-2"))
+            assert (await client.answer()).status == 400
+            other.stop()
+
+    play(work)
+
+
+def test_a_reload_gives_membership_no_other_tier_or_number() -> None:
+    async def work() -> None:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as free:
+            free.bind((HOST, 0))
+            own = f"{HOST}:{free.getsockname()[1]}"
+        given = {
+            **GOOD,
+            "peer_listen": own,
+            "peers": [own, own],
+            "membership": {"on": False},
+            "settings": {**GOOD["settings"], "tier": 3, "me": 1, "bounds": {"mayTell": True}},
+        }
+        sidecar = Sidecar(parse(given), print)
+        await sidecar.start()
+        assert sidecar._members is None
+        other = {**given["settings"], "tier": 4, "me": 0}
+        kept = sidecar.reconfigure(parse({**given, "membership": {"on": True}, "settings": other}))
+        assert kept == ["settings", "tier"]
+        assert sidecar._members is not None
+        assert (sidecar._members._tier, sidecar._members._me) == ("3", 1)
+        sidecar.close()
+
+    play(work)
+
+
+def test_an_exclusion_said_to_the_other_process_holds_from_its_yes_on(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against new work to an excluded server in the tenth of a second between two looks at the file.
+    async def work() -> None:
+        monkeypatch.setattr("micadeck.handover._LOOK_EVERY_S", 3_600.0)
+        servers = [await Server(OK).start() for _ in range(2)]
+        lines = [line(f"s-{index}", each.address) for index, each in enumerate(servers)]
+        given = {
+            **GOOD,
+            "known": {"version": 1, "full": True, "servers": lines},
+            "console": f"{HOST}:0",
+            "settings": {**GOOD["settings"], "bounds": {"sendCap": 3}},
+        }
+        with socket.socket() as held:
+            held.bind((HOST, 0))
+            held.listen(64)
+            config = parse(given, {"TMPDIR": str(tmp_path)})
+            sidecar = Sidecar(config, print, inherited(os.dup(held.fileno())))
+            await sidecar.start()
+            other = Handover(tmp_path, print)
+            other.record("s-0", True, frozenset())
+            reader, writer = await asyncio.open_connection(*held.getsockname())
+            for _ in range(10):
+                writer.write(request("lodge"))
+                assert (await soon(reader.readuntil(b"served"))).startswith(b"HTTP/1.1 200")
+            assert [len(each.heard) for each in servers] == [0, 10]
+            other.record("s-0", False, frozenset())
+            other.record("s-1", True, frozenset())
+            writer.write(request("lodge"))
+            await soon(reader.readuntil(b"HTTP/1.1 "))
+            assert len(servers[1].heard) == 10
+            writer.close()
+            sidecar.close()
+        for each in servers:
+            each.stop()
+
+    play(work)
+
+
+@pytest.mark.parametrize("body", [b"x" * 60_000, b'{"member":"unheard-of"}' + b" " * 3_000])
+def test_an_operator_who_sends_more_than_is_read_still_gets_the_answer(body: bytes) -> None:
+    async def work() -> None:
+        async with stage(OK, console=True) as scene:
+            caller = await scene.operator()
+            head = f"POST /api/exclude HTTP/1.1\r\nHost: console\r\nContent-Length: {len(body)}\r\n\r\n"
+            caller.send(head.encode() + body)
+            assert (await caller.answer()).status in (404, 413)
+            sock = caller.writer.get_extra_info("socket")
+            for _ in range(3):
+                caller.send(b"x" * 1_000)
+                await asyncio.sleep(0.005)
+            assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0
+            assert await soon(caller.reader.read()) == b""
+
+    play(work)
+
+
+# Settings of any deployment
+
+ODD = {"zone": "a", "quantumUs": 5_000, "discovery": "on_request"}
+
+
+def lane(name: str, repeat: str, **further: object) -> dict[str, object]:
+    return {"name": name, "giveUpUs": 2_000_000, "promiseUs": 500_000, "repeat": repeat, **further}
+
+
+def test_classes_whose_names_share_a_prefix_are_each_taken_for_themselves() -> None:
+    async def work() -> None:
+        names = ("gate", "gate-view", "gate-keeper", "gat", "GATE")
+        repeats = ("non_idempotent", "read_like", "idempotency_key", "read_like", "read_like")
+        lanes = [lane(name, repeat) for name, repeat in zip(names, repeats, strict=True)]
+
+        async with stage(OK, OK, OK, lanes=lanes) as scene:
+            for name, repeat in zip(names, repeats, strict=True):
+                kind = {"read_like": "check", "idempotency_key": "amend", "non_idempotent": "lodge"}[repeat]
+                assert (await scene.ask(kind, Request_Class=name)).status == 200
+                for wrong in {"check", "amend", "lodge"} - {kind}:
+                    assert (await scene.ask(wrong, Request_Class=name)).status == 400
+            for unknown in ("ga", "gate-", "gate-views", "Gate", "gate view"):
+                assert (await scene.ask("check", Request_Class=unknown)).status == 400
+            assert len(scene.heard) == len(names)
+
+    play(work)
+
+
+@pytest.mark.parametrize("realms", [[], [{"name": "acme", "portion": 1.0, "quotaRps": 0.0}]])
+def test_tenants_that_are_none_or_unheard_of_are_served_alike(realms: list[dict[str, object]]) -> None:
+    async def work() -> None:
+        async with stage(OK, realms=realms, lanes=[lane("check", "read_like")]) as scene:
+            for tenant in ("acme", "acme-2", "", "nobody"):
+                assert (await scene.ask("check", Tenant=tenant)).status == 200
+
+    play(work)
+
+
+@pytest.mark.parametrize(
+    "bounds",
+    [
+        {"sendCap": 1, "secondCopies": False, "mayCancel": False},
+        {"sendCap": 0},
+        {"dialTimeoutUs": 0},
+        {"idleCloseUs": 0},
+        {"maxOpen": 0},
+        {"sendCap": 2**40, "dialTimeoutUs": 2**52, "idleCloseUs": 2**52, "maxRetryAfterUs": 2**52},
+    ],
+    ids=str,
+)
+def test_limits_at_their_extremes_leave_each_request_one_answer(bounds: dict[str, object]) -> None:
+    async def work() -> None:
+        internal: list[dict[str, object]] = []
+        asyncio.get_running_loop().set_exception_handler(lambda _, what: internal.append(what))
+        async with stage(OK, OK, bounds=bounds) as scene:
+            for kind in ("check", "amend", "lodge") * 3:
+                answer = await scene.ask(kind, timeout="1.0")
+                assert answer.status in (200, 502, 503, 504)
+            await until(lambda: scene.sidecar.open_requests == 0)
+            assert not [each for each in scene.log if "internal" in each]
+        assert not [each for each in internal if "micadeck" in repr(each)]
+
+    play(work)
