Give repeats that may always run no limit of their own, so that the draws stay as they were

Cause: a safe request whose time was up was finished without the draw that came before, so that all later draws differed. The limit of what may always run is now none; the deadline is asked beside it, as it was.

--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -52,6 +52,7 @@
 REACH = 4.0  # a balancer at rest draws from this many servers: a choice, yet few enough to know them
 REACH_PER_BUSY = 1.0  # and from one more for each request in flight: as many again may be empty
 ARRIVAL_US = 3_600_000_000  # a body that passes through is done by then: whoever reads it sees to that
+ANY_TIME = 2**61  # as a limit: there is none
 TICKS_EARLY = 2  # a final answer leaves this many ticks before the client's time is up
 COLD_SHARE = 0.5  # part of the pushing-over load that a cold server's budget fills at
 COLD_BURST = 0.18  # part of that load that may come at once
@@ -879,7 +880,7 @@
         """The one way out for an attempt.  Says whether the attempt was allowed and sent."""
         limits = self._settings.limits
         begin_by = self._begin_by(request)
-        if request.answered or self._now >= begin_by:
+        if request.answered or self._now >= min(begin_by, request.answer_by):
             return False  # rules 1 and 2: not after the final answer, nor later than it helps or is allowed
         if len(request.attempts) >= limits.max_attempts:
             return False
@@ -905,16 +906,16 @@
         return True
 
     def _begin_by(self, request: Request) -> int:
-        """Until when its class lets a further attempt begin, by its first byte; 0: not at all."""
+        """Until when its class lets a further attempt begin, by its first byte; 0: it does not."""
         if request.spent:
             return 0
         first_maybe = next((each for each in request.attempts if each.may_have_run), None)
         if first_maybe is None or request.kind.repeat is Repeat.SAFE:
-            return request.answer_by
+            return ANY_TIME
         if request.kind.repeat is Repeat.UNSAFE:
             return 0
         # Keyed: servers forget; one tick less, since the clock is read once a tick.
-        return min(first_maybe.sent_at + request.kind.memory_us - self._settings.tick_us, request.answer_by)
+        return first_maybe.sent_at + request.kind.memory_us - self._settings.tick_us
 
     @staticmethod
     def _in_group(request: Request, server: Server) -> bool:
