--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -273,6 +273,23 @@
     play(work)
 
 
+def test_a_watch_and_a_fetch_that_fail_at_once_are_a_failure_each_and_the_next_call_is_heard() -> None:
+    async def work() -> None:
+        busy = reply(b"", "503 Busy")
+        server = await Scripted(lambda number, _: busy if number < 2 else whole(4, s="active")).start()
+        ears = Ears(server)
+        ears.discovery.follow(True)
+        ears.discovery.fetch()
+        assert [await ears.next(), await ears.next()] == [None, None]
+        assert ears.events.empty()
+        ears.discovery.follow(True)
+        assert (heard := await ears.next()) is not None and heard.version == 4
+        ears.discovery.close()
+        server.stop()
+
+    play(work)
+
+
 def test_half_an_answer_and_then_silence_is_asked_for_beside_it(short_waits: None) -> None:
     async def work() -> None:
         def answers(number: int, heard: Heard) -> bytes | None:
