--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -72,6 +72,9 @@
     if not folder.exists():
         subprocess.run(["git", "worktree", "prune"], cwd=ROOT, check=True)
         subprocess.run(["git", "worktree", "add", "--detach", str(folder), commit], cwd=ROOT, check=True)
+    if not (folder / ".venv").exists():
+        # One venv for both: what else is installed in it costs each start and each request alike.
+        (folder / ".venv").symlink_to(ROOT / ".venv")
     return built(commit, folder)
 
 
