--- a/micadeck/upstream.py
+++ b/micadeck/upstream.py
@@ -245,9 +245,10 @@
 
     def _expire(self, call: Call) -> None:
         if call.connection is None:
-            # Still dialling: not a byte was written, so it never ran.
-            is_late = self._clock.now() >= call.until
-            self._end(call, Outcome.DIAL_FAILED if is_late else Outcome.UNSENT)
+            # Still dialling: not a byte was written, so it never ran.  Where the call's own limit ended it,
+            # the server is not to blame.  Not told by the clock: a timer may fire a moment early.
+            is_own_limit = call.begin_by < call.until
+            self._end(call, Outcome.UNSENT if is_own_limit else Outcome.DIAL_FAILED)
         else:
             call.connection.close()
             self._end(call, Outcome.EXPIRED)
--- a/tests/test_late_dials.py
+++ b/tests/test_late_dials.py
@@ -133,6 +133,19 @@
     play(work)
 
 
+@pytest.mark.parametrize(
+    ("begin_by", "outcome"), [(2**61, Outcome.DIAL_FAILED), (2**59, Outcome.UNSENT)], ids=str
+)
+def test_a_timer_that_fires_early_does_not_change_who_is_to_blame(begin_by: int, outcome: Outcome) -> None:
+    # Guards against a server to which no connection comes up and that is never ejected for it.
+    async def work() -> None:
+        async with late_pool() as pool:
+            pool.upstream._expire(pool.call(begin_by=begin_by))
+            assert pool.ends == [outcome]
+
+    play(work)
+
+
 def test_a_window_that_is_over_at_the_draw_lets_nothing_be_dialled() -> None:
     async def work() -> None:
         async with late_pool() as pool:
