Have the test of a keyed repeat force the dial that its window ends in, and share one ending

Found reading the change once more: the late server was listed only after the first attempt had broken, so the repeat had nowhere to dial and the request failed at once, with or without the limit. It is listed first now, the dial is awaited, and that nothing was written is looked at.

--- a/tests/test_late_dials.py
+++ b/tests/test_late_dials.py
@@ -68,6 +68,14 @@
     play(work)
 
 
+async def nothing_was_written(scene: Stage, slow: SlowToAccept) -> None:
+    """Let the late connection come up: it is good and kept, and gets nothing until the sidecar's end."""
+    accepted = await slow.let_go()
+    scene.sidecar.close()
+    assert await asyncio.get_running_loop().sock_recv(accepted, 1_000) == b""
+    accepted.close()
+
+
 @dataclass
 class Pool:
     """Calls to one server that accepts late, and how they ended."""
@@ -225,10 +233,7 @@
             else:
                 client.writer.transport.abort()
             await until(lambda: at_the_sidecar(scene) == 0)
-            accepted = await slow.let_go()
-            scene.sidecar.close()  # the connection itself is good and was kept
-            assert await asyncio.get_running_loop().sock_recv(accepted, 1_000) == b""
-            accepted.close()
+            await nothing_was_written(scene, slow)
         slow.close()
 
     play(work)
@@ -275,10 +280,7 @@
             await until(lambda: [each._held_since for each in scene.sidecar.frontend._connections] != [None])
             client.close()
             await until(lambda: at_the_sidecar(scene) == 0)
-            accepted = await slow.let_go()
-            scene.sidecar.close()
-            assert await asyncio.get_running_loop().sock_recv(accepted, 1_000) == b""
-            accepted.close()
+            await nothing_was_written(scene, slow)
         slow.close()
 
     play(work)
@@ -312,10 +314,7 @@
             release.set()
             assert (await asked).status == 200
             await until(lambda: at_the_sidecar(scene) == 0)
-            accepted = await slow.let_go()
-            scene.sidecar.close()
-            assert await asyncio.get_running_loop().sock_recv(accepted, 1_000) == b""
-            accepted.close()
+            await nothing_was_written(scene, slow)
         slow.close()
 
     play(work)
@@ -326,29 +325,34 @@
     async def work() -> None:
         slow = SlowToAccept()
         await slow.fill()
+        is_listed = asyncio.Event()
 
         async def broken(heard: Heard) -> None:
+            await is_listed.wait()
             heard.writer.transport.abort()
 
         kind = {
             "name": "amend",
-            "giveUpUs": 30_000_000,
-            "promiseUs": 600_000,
+            "giveUpUs": 60_000_000,
+            "promiseUs": 10_000_000,
             "repeat": "idempotency_key",
             "group": "all",
-            "memorySpanUs": 300_000,
+            "memorySpanUs": 2_000_000,
         }
         async with stage(broken, bounds=LONG, lanes=[kind]) as scene:
             await until(lambda: len(scene.discovery.heard) >= 2)
             client = await scene.client()
-            client.send(request("amend", timeout="25"))
+            client.send(request("amend", timeout="50"))
             await until(lambda: len(scene.heard) == 1)
             scene.discovery.tell(line("s", slow.address))
-            answer = await client.answer()
+            await until(lambda: scene.sidecar._balancer.knows("s"))
+            is_listed.set()
+            await until(lambda: scene.sidecar._upstream._dialling == 1)
+            answer = await client.answer()  # long before its time is up: the window is what ends it
             assert answer.status in (502, 503, 504)
             await until(lambda: at_the_sidecar(scene) == 0)
-            scene.sidecar.close()
             assert len(scene.heard) == 1
+            await nothing_was_written(scene, slow)
         slow.close()
 
     play(work)
