--- /dev/null
+++ b/plumtrestle/scale/__init__.py
@@ -0,0 +1,1 @@
+"""Many members on one machine: real sidecar processes beside hollow ones, faults between, and figures."""
