Ask discovery again within what counts as told, and spread a tier that failed together

Need: whatever failed, discovery's word counts as told 6 s after it could be reached; in tiers of 18 or more a sidecar waited up to 8 s after a failed call.

Change: the longest wait is 3.6 s, the rest is for a silent call, a dial and discovery's line; the first wait is anything up to its whole by chance, later ones hardly differ.

--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -58,10 +58,11 @@
 COLD_BURST = 0.18  # part of that load that may come at once
 PRESENT_LEAST = 0.67  # part of the tier taken to be there at least: a wrong view costs a factor of 1.5
 RATE_SPANS = 2.0  # rates are averaged over this many fall times
+TOLD_US = 6_000_000  # whatever failed, discovery's word counts as told so long after it could be reached
 ASK_AGAIN = 0.05  # first wait before asking discovery again, of the time allowed without asking
 ASK_AGAIN_EACH = 0.01  # or this for each balancer of the tier, where that is more
-ASK_AGAIN_LONGEST = 0.8  # the longest in a large tier: after a failed call four times the time is allowed
-ASK_AGAIN_MOST = 0.25  # and the longest: three failed calls in a row still fit
+ASK_AGAIN_MOST = 0.25  # the longest in a small tier: three failed calls in a row still fit
+ASK_AGAIN_LONGEST = 0.6  # and in a large one, of what is told late: the rest is for the call and its line
 REMOTE_LEAST = 0.25  # odds of a server in another zone while the own zone is as quick
 REMOTE_EVEN = 0.3  # the own zone this far behind the others' pace, all zones are drawn alike
 REMOTE_SPENT = 0.12  # or the typical answer at twice this part of its aim
@@ -394,17 +395,16 @@
         self._schedule(self._ask_due, _ASK, _WHOLE)
 
     def _ask_again_later(self) -> None:
-        """After a failed call: wait twice as long each time, with jitter, so that instances spread out.
+        """After a failed call: wait twice as long each time, up to what being told in time leaves.
 
-        The larger the tier, the longer: all of it calls one service, and calls that wait in vain fill its
-        queue, so that nobody gets through.
+        A tier calls one service, which serves calls one after another: the larger the tier, the longer the
+        waits.  The first is by chance, since calls fail together; later ones hardly differ, to stay spread.
         """
-        allowed = self._settings.rules.ask_within_us
         first = max(ASK_AGAIN, ASK_AGAIN_EACH * self._settings.group_size * self._present)
-        most = max(ASK_AGAIN_MOST, min(2.0 * first, ASK_AGAIN_LONGEST))
-        wait = min(first * 2**self._failed_calls, most) * allowed
+        wait = min(first * 2**self._failed_calls, max(ASK_AGAIN_MOST, 2.0 * first))
+        wait = min(wait * self._settings.rules.ask_within_us, ASK_AGAIN_LONGEST * TOLD_US)
+        self._ask_in(wait * self._random.uniform(0.8 if self._failed_calls else 0.0, 1.0))
         self._failed_calls = min(self._failed_calls + 1, 8)
-        self._ask_in(wait * (0.5 + 0.5 * self._random.random()))
 
     def _servers_listed(self, event: ServersListed) -> None:
         if event.kind is ListKind.FAILED:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -20,6 +20,8 @@
     until,
 )
 
+from magpiemux import balancer
+from micadeck import discovery as calls
 from micadeck.catalog import Listing, parse_listing
 from micadeck.client import parse_address
 from micadeck.discovery import Discovery
@@ -422,3 +424,18 @@
     assert listed.started_at == 1_700_000_000_123_000
     gone = parse_listing({"version": 3, "full": False, "servers": [{"id": "a", "state": "left"}]})
     assert gone.entries[0].address is None
+
+
+def test_whatever_failed_discovery_is_asked_again_well_before_its_word_counts_as_told() -> None:
+    # From when it can be reached on, the longest way to the first call that it hears.  The rest of
+    # the 6 s is for its line: it serves the calls of the whole tier one after another.
+    waits_s = balancer.ASK_AGAIN_LONGEST * balancer.TOLD_US / 1e6
+    last_asked_s = calls._ANSWER_OVERDUE_S + calls._BESIDE_OVERDUE_S
+    ways = {
+        "a wait had just begun": waits_s,
+        "a dial had just begun, and hangs": calls._DIAL_WITHIN_S + waits_s,
+        "a call was just accepted, and is silent": calls._ANSWER_OVERDUE_S,
+        "so was the last one beside it": calls._FAILED_AFTER_S - last_asked_s + waits_s,
+    }
+    assert calls._MOST_BESIDE == 3  # what is counted here: a call and two beside it
+    assert max(ways.values()) <= balancer.TOLD_US / 1e6 - 1.2
