Play many members on one machine, real processes beside hollow ones: plumtrestle scale

Slopes of membership and of discovery need real processes at sizes where these alone would not fit.

A hollow member is a whole sidecar without clients on an event loop shared with others: its membership, its watch of discovery and its decisions are the program's own lines; datagrams are counted and lost at its own socket. Faults: start at once, a kill, a rack, a zone, a region cut, loss, restarts, discovery away. What the machine was the limit of is kept apart as not valid. The stand-in discovery gives the whole list to whoever holds none (version 0).

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 
-.PHONY: setup test lint check native-check bench bench-ground fuzz explore membership
+.PHONY: setup test lint check native-check bench bench-ground fuzz explore membership scale
 
 FUZZ_S ?= 60
 
@@ -48,6 +48,12 @@
 explore: setup
 	$(BIN)/python -c 'from plumtrestle.tier.explore import explore; print(explore(4, 2, heal_every=3))'
 
+# Many members on this machine, real and hollow ones, each size for itself; figures go to docs/capacity.
+SIZES ?= 50 100 200 400 750
+
+scale: setup
+	for size in $(SIZES); do $(BIN)/plumtrestle scale --members $$size --save $(SCALE) || test $$? = 3 || exit 1; done
+
 # What membership costs and how quickly it finds out: tables, and the plot of docs/membership.md.
 membership: setup
 	$(BIN)/python -m plumtrestle.tier.measure
--- a/plumtrestle/cli.py
+++ b/plumtrestle/cli.py
@@ -20,7 +20,7 @@
 from rich.progress import Progress
 
 from plumtrestle import events as log
-from plumtrestle.emulator.copies import PlayError, built
+from plumtrestle.emulator.copies import PlayError, built, deployed
 from plumtrestle.emulator.play import Ground
 from plumtrestle.emulator.play import play as play_real
 from plumtrestle.experiment.compare import compared, knee
@@ -34,6 +34,9 @@
 from plumtrestle.report.page import of_one_day, page
 from plumtrestle.rules import account, judge
 from plumtrestle.rules.history import History, gather
+from plumtrestle.scale.keep import kept
+from plumtrestle.scale.plan import Event, Plan, check, fitted
+from plumtrestle.scale.play import play as play_scale
 from plumtrestle.world import WorldError, draw, read, shipped, shipped_worlds, text_of
 
 EXIT_CODES = {"kept": 0, "broken": 1}
@@ -252,6 +255,67 @@
         store.close()
 
 
+@app.command(epilog="Example: plumtrestle scale --members 200 --event rest --event cut --save")
+def scale(
+    members: Annotated[int, typer.Option("--members", "-n", min=2, help="The tier's size.")] = 50,
+    event: Annotated[
+        list[Event], typer.Option(help="What happens; give it again for more. Default: all.")
+    ] = [],  # noqa: B006 - typer's form of a default
+    real: Annotated[int, typer.Option(min=0, help="Members that are processes of the program.")] = 4,
+    off: Annotated[int, typer.Option(min=0, help="Processes beside them, with membership off.")] = 2,
+    workers: Annotated[int, typer.Option(min=1, help="Processes that share the hollow members.")] = 8,
+    servers: Annotated[
+        int | None, typer.Option(min=1, max=2_000, help="In discovery's list. Default: one for each member.")
+    ] = None,
+    seed: Seed = 1,
+    rest_s: Annotated[float, typer.Option(help="Of rest, loss and restarts.")] = 40.0,
+    cut_s: Annotated[float, typer.Option(help="That regions lose each other.")] = 60.0,
+    down_s: Annotated[float, typer.Option(help="That discovery is away.")] = 10.0,
+    loss: Annotated[float, typer.Option(help="Part of the datagrams, while they are lost.")] = 0.05,
+    call_ms: Annotated[float, typer.Option(help="Of discovery's time for a call.")] = 1.0,
+    agree_within_s: Annotated[float, typer.Option(help="That an event's end is waited for.")] = 400.0,
+    within_s: Annotated[float, typer.Option(help="The whole run's bound.")] = 1_800.0,
+    root: Tree = Path("."),
+    build: Annotated[bool, typer.Option(help="Build the program first, as its deploy file says.")] = True,
+    save: Annotated[bool, typer.Option(help="Keep the figures below docs/capacity.")] = False,
+    as_json: AsJson = False,
+) -> None:
+    """Play many members of one tier, real processes beside hollow ones, and measure what they cost."""
+    plan = Plan(
+        members=members,
+        events=tuple(event) or fitted(members),
+        real=real,
+        off=off,
+        workers=workers,
+        servers=servers,
+        seed=seed,
+        rest_s=rest_s,
+        cut_s=cut_s,
+        down_s=down_s,
+        loss=loss,
+        call_ms=call_ms,
+        agree_within_s=agree_within_s,
+        within_s=within_s,
+    )
+    check(plan)
+    root = root.resolve()
+    if build:
+        built(root)
+    command = "plumtrestle " + " ".join(sys.argv[1:])
+    figures = asyncio.run(play_scale(plan, root, deployed(root), lambda text: print(text, file=sys.stderr)))
+    if save:
+        for path in kept(figures, command):
+            print(f"kept: {path}", file=sys.stderr)
+    told = tables.plain_samples(figures.usable)
+    if as_json:
+        print(json.dumps(told))
+    else:
+        tables.samples(Console(highlight=False), figures.usable)
+    for text in (*figures.notes, *figures.faults):
+        print(f"plumtrestle: {text}", file=sys.stderr)
+    raise typer.Exit(SAYS_NOTHING if figures.faults else 0)
+
+
 @app.command()
 def worlds() -> None:
     """List the worlds that come with the package."""
--- a/plumtrestle/emulator/discovery.py
+++ b/plumtrestle/emulator/discovery.py
@@ -98,7 +98,7 @@
 
     def _tell(self, call: _Call, after: int | None) -> None:
         version = self.catalog.version(self._clock.now())
-        full = after is None or after > version
+        full = not after or after > version  # at 0 nothing is held yet
         changes = self.catalog.whole(version) if full else self.catalog.since(after or 1, version)
         body = json.dumps(self.listing(call.copy, version, full, changes)).encode()
 
--- a/plumtrestle/report/tables.py
+++ b/plumtrestle/report/tables.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Any
 
+from msgspec.structs import asdict
 from rich.console import Console
 from rich.markup import escape
 from rich.table import Table
 
+from plumtrestle.capacity.samples import Sample
 from plumtrestle.experiment.compare import Row
 from plumtrestle.rules import Account, Verdict
 from plumtrestle.rules.history import History
@@ -15,6 +18,7 @@
 
 _MOST_BREACHES = 10
 _COLOURS = {"kept": "green", "broken": "red"}
+_PARTS = ("mean", "median", "p99", "max")
 _BLOCKS = " ▁▂▃▄▅▆▇█"
 
 
@@ -46,6 +50,25 @@
     }
 
 
+def plain_samples(given: Iterable[Sample]) -> list[dict[str, Any]]:
+    """Measured figures, for `--json`."""
+    return [asdict(each) for each in given]
+
+
+def samples(console: Console, given: Iterable[Sample]) -> None:
+    """Measured figures on a terminal: a row for each measure, case and engine."""
+    rows: dict[tuple[str, str, str, str], dict[str, float]] = {}
+    for each in given:
+        key = (each.case, each.measure, each.engine, each.unit)
+        rows.setdefault(key, {})[each.part] = each.value
+    table = Table(box=None)
+    for name in ("case", "measure", "engine", "unit", *_PARTS):
+        table.add_column(name, justify="right" if name in _PARTS else "left")
+    for key, parts in rows.items():
+        table.add_row(*key, *(f"{parts[each]:g}" if each in parts else "" for each in _PARTS))
+    console.print(table)
+
+
 def show(console: Console, history: History, verdict: Verdict, account: Account) -> None:
     """A day on a terminal."""
     day = history.day
--- /dev/null
+++ b/plumtrestle/scale/hollow.py
@@ -0,0 +1,201 @@
+"""A hollow member: a whole sidecar without clients, on an event loop that it shares with others.
+
+Its membership, its watch of discovery and its decisions are the program's own lines.  What stands between
+is here: datagrams are counted, and lost where a fault takes them; what it believes and hears is written down.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from micadeck.catalog import Listing
+from micadeck.client import Address
+from micadeck.config import Config
+from micadeck.members import Members
+from micadeck.peers import Peers
+from micadeck.sidecar import Sidecar
+from micadeck.tier.message import State
+from micadeck.tier.settings import MembershipSettings
+from micadeck.tier.view import Action, News
+
+_DRAINED_BYTES = 1 << 16
+
+
+@dataclass(slots=True)
+class Traffic:
+    """Datagrams, and their bytes without headers."""
+
+    datagrams: int = 0
+    size: int = 0  # bytes
+
+    def add(self, payload: bytes) -> None:
+        self.datagrams += 1
+        self.size += len(payload)
+
+
+@dataclass(slots=True)
+class Counts:
+    """One member's traffic, over all its lives."""
+
+    sent: Traffic = field(default_factory=Traffic)
+    heard: Traffic = field(default_factory=Traffic)
+
+
+class Ground:
+    """What the hollow members of one process share: faults, who lives, and what is written down."""
+
+    def __init__(self, real: int, rng: random.Random) -> None:
+        """Members below `real` are processes of their own; what passes to and from them is counted."""
+        self.border: int | None = None  # of a cut: nothing passes between those below it and the rest
+        self.loss = 0.0
+        self.real = [Counts() for _ in range(real)]
+        self.since: dict[int, int] = {}  # the least life that each living member may have
+        self.wrongly_dead: set[tuple[int, int]] = set()  # lives that were called dead and were not
+        self.on_gone: Callable[[int, int], None] = lambda by, member: None
+        self.on_told: Callable[[int], None] = lambda member: None
+        self._chance = rng.random
+
+    def is_cut(self, one: int, other: int) -> bool:
+        return self.border is not None and (one < self.border) != (other < self.border)
+
+    def loses(self, one: int, other: int) -> bool:
+        """Whether a datagram from one to another is lost; asked once for each."""
+        return self.is_cut(one, other) or (self.loss > 0.0 and self._chance() < self.loss)
+
+    def hear(self, by: int, news: News) -> None:
+        """A member has come to believe that another is gone."""
+        self.on_gone(by, news.member)
+        since = self.since.get(news.member)
+        if news.state is State.DEAD and since is not None and news.life >= since:
+            self.wrongly_dead.add((news.member, news.life))
+
+
+class GroundPeers(Peers):
+    """The program's datagrams over a socket that was bound beforehand, counted, some of them lost."""
+
+    def __init__(
+        self,
+        ground: Ground,
+        counts: Counts,
+        own: socket.socket,
+        peers: tuple[Address, ...],
+        me: int,
+        on_message: Callable[[int, bytes], None],
+    ) -> None:
+        super().__init__(peers, None, me, on_message)
+        self._ground, self._counts, self._own = ground, counts, own
+
+    async def listen(self, address: Address, shared: bool = False) -> None:
+        """Hear others on a copy of the socket: the port stays the member's when this life ends."""
+        drain(self._own)
+        await asyncio.get_running_loop().create_datagram_endpoint(lambda: self, sock=self._own.dup())
+
+    def tell(self, receiver: int | None, payload: bytes) -> bool:
+        if receiver is None:
+            others = [each for each in range(len(self._peers)) if each != self._me]
+            told = [self.tell(each, payload) for each in others]
+            return all(told)
+        self._counts.sent.add(payload)
+        if receiver < len(self._ground.real):
+            self._ground.real[receiver].heard.add(payload)
+        return self._ground.loses(self._me, receiver) or super().tell(receiver, payload)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        sender = self._numbers.get((addr[0], addr[1]))
+        if sender is not None:
+            is_real = sender < len(self._ground.real)
+            if is_real:
+                self._ground.real[sender].sent.add(data)
+            # A hollow sender has asked already whether it is lost.
+            if self._ground.loses(sender, self._me) if is_real else self._ground.is_cut(sender, self._me):
+                return
+            self._counts.heard.add(data)
+        super().datagram_received(data, addr)
+
+
+class GroundMembers(Members):
+    """The program's membership; who is believed gone is written down."""
+
+    on_gone: Callable[[News], None]
+
+    def _carry_out(self, actions: list[Action]) -> None:
+        for each in actions:
+            if isinstance(each, News) and each.state >= State.DEAD:
+                self.on_gone(each)
+        super()._carry_out(actions)
+
+
+class Hollow(Sidecar):
+    """One life of a hollow member."""
+
+    def __init__(
+        self, ground: Ground, number: int, counts: Counts, own: socket.socket, config: Config
+    ) -> None:
+        super().__init__(config, _unheard)
+        self.number = number
+        self._ground = ground
+        self._peers: Peers = GroundPeers(ground, counts, own, config.peers, number, self._message_received)
+
+    @property
+    def members(self) -> Members | None:
+        return self._members
+
+    def _keep_track(self, membership: MembershipSettings) -> None:
+        if self._members is None and membership.on:
+            own, number = self._config, self.number
+            members = GroundMembers(
+                number, own.tier, own.seed, self._clock, self._peers, _unheard, self._tier_sized
+            )
+            members.on_gone = lambda news: self._ground.hear(number, news)
+            self._members = members
+        super()._keep_track(membership)
+
+    def _listed(self, listing: Listing) -> None:
+        self._ground.on_told(self.number)
+        super()._listed(listing)
+
+    def leave(self) -> None:
+        """End as planned: the others are told."""
+        if self._members is not None:
+            self._members.leave()
+        self.close()
+
+
+class Watch:
+    """Waits until each of some members has had all of what it waits for, and keeps when that was."""
+
+    def __init__(self, began: float, waits: dict[int, set[int]]) -> None:
+        """`began` by the monotonic clock, in seconds; `waits`: what each member has yet to hear."""
+        self._began = began
+        self.waits = waits
+        self.took_s: dict[int, float] = {}
+
+    def heard(self, by: int, what: int) -> None:
+        left = self.waits.get(by)
+        if left is None:
+            return
+        left.discard(what)
+        if not left:
+            del self.waits[by]
+            self.took_s[by] = time.monotonic() - self._began
+
+    def forget(self, member: int) -> None:
+        self.waits.pop(member, None)
+
+
+def drain(own: socket.socket) -> None:
+    """Throw away what came while nobody heard."""
+    try:
+        while True:
+            own.recv(_DRAINED_BYTES)
+    except BlockingIOError:
+        pass
+
+
+def _unheard(_: str) -> None:
+    """Nobody reads a hollow member's log."""
--- /dev/null
+++ b/plumtrestle/scale/play.py
@@ -0,0 +1,227 @@
+"""Plays a scale run: each event of the plan, what it cost and how long it took until all knew or agreed."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import tempfile
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+from plumtrestle.scale.crew import Crew, Snapshot
+from plumtrestle.scale.figures import Case, Figures
+from plumtrestle.scale.plan import Event, Plan, check
+from plumtrestle.scale.real import knows_gone
+
+_LOOK_S = 0.25  # how often it is looked whether all agree or know
+_DISCOVERY_WITHIN_S = 120.0  # that an answer is waited for after discovery's return
+_SETTLES_S = 2.0  # between two events
+
+
+async def play(
+    plan: Plan, root: Path, command: str, tell: Callable[[str], None], folder: Path | None = None
+) -> Figures:
+    """Play it; raise PlayError if it may not be played here.  `folder` keeps what processes write."""
+    check(plan)
+    figures = Figures(plan)
+    with tempfile.TemporaryDirectory(prefix="scale-") as own:
+        crew = Crew(plan, root, folder or Path(own), command)
+        try:
+            async with asyncio.timeout(plan.within_s):
+                await crew.prepare()
+                await _Play(crew, figures, tell).run()
+        except TimeoutError:
+            late = figures.case("end")
+            late.faults.append(f"the run was ended at its bound of {plan.within_s:g} s")
+        finally:
+            await crew.close()
+    return figures
+
+
+class _Play:
+    """The events of one run, one after another."""
+
+    def __init__(self, crew: Crew, figures: Figures, tell: Callable[[str], None]) -> None:
+        self._crew, self._figures, self._tell = crew, figures, tell
+        self._plan = crew.plan
+        self._random = random.Random(f"scale {self._plan.seed}")
+
+    async def run(self) -> None:
+        """The start is always first: whether it is an event of the plan or not, all have to live."""
+        acts: dict[Event, Callable[[], Awaitable[None]]] = {
+            Event.REST: self._rest,
+            Event.KILL: lambda: self._killed("kill", [self._victim()]),
+            Event.RACK: lambda: self._killed("rack-40", self._plan.rack),
+            Event.ZONE: lambda: self._killed("zone", self._plan.zone),
+            Event.CUT: self._cut,
+            Event.LOSS: self._lossy,
+            Event.RESTARTS: self._restarts,
+            Event.DISCOVERY: self._discovery_down,
+        }
+        await self._start()
+        for event in Event:
+            if event in self._plan.events and event in acts:
+                await asyncio.sleep(_SETTLES_S)
+                await acts[event]()
+
+    def _victim(self) -> int:
+        """The last real member, or a hollow one."""
+        return max(self._plan.real - 1, 0)
+
+    # Events
+
+    async def _start(self) -> None:
+        """Everybody at once: nobody knows anybody."""
+        case = self._figures.case("start-at-once")
+        everybody = list(range(self._plan.members))
+        first = await self._crew.snapshot()
+        began = time.monotonic()
+        await self._crew.start(everybody, with_off=True)
+        self._figures.sample(case, "scale.started", time.monotonic() - began, "s")
+        await self._agree(case, began)
+        self._close(case, first, await self._crew.snapshot())
+
+    async def _rest(self) -> None:
+        case = self._figures.case("rest")
+        first = await self._crew.snapshot()
+        await asyncio.sleep(self._plan.rest_s)
+        last = await self._crew.snapshot()
+        self._close(case, first, last)
+        self._wrong_deaths(case, first, last)
+        self._figures.judge_kinds(case)
+
+    async def _killed(self, name: str, members: list[int]) -> None:
+        """Kill these, wait until all others know of all; then start them again, and wait until all agree."""
+        case = self._figures.case(name)
+        first = await self._crew.snapshot()
+        began = time.monotonic()
+        await self._crew.watch("deaths", members, began)
+        await self._crew.kill(members)
+        await self._known(case, members, began)
+        last = await self._crew.snapshot()
+        self._close(case, first, last)
+        self._wrong_deaths(case, first, last)
+        back = self._figures.case(f"{name}-back")
+        began = time.monotonic()
+        await self._crew.start(members)
+        await self._agree(back, began)
+        self._close(back, last, await self._crew.snapshot(), set(members))
+
+    async def _cut(self) -> None:
+        """The second half can't be heard by the first, nor the other way round, and then again."""
+        name = f"region-cut-{self._plan.cut_s:g}s"
+        during = self._figures.case(f"{name}-during")
+        first = await self._crew.snapshot()
+        await self._crew.cut(self._plan.border)
+        await asyncio.sleep(self._plan.cut_s)
+        last = await self._crew.snapshot()
+        self._close(during, first, last)
+        case = self._figures.case(name)
+        began = time.monotonic()
+        await self._crew.cut(None)
+        await self._agree(case, began)
+        self._close(case, last, await self._crew.snapshot())
+
+    async def _lossy(self) -> None:
+        case = self._figures.case(f"loss-{100 * self._plan.loss:g}")
+        first = await self._crew.snapshot()
+        await self._crew.lose(self._plan.loss)
+        await asyncio.sleep(self._plan.rest_s)
+        last = await self._crew.snapshot()
+        await self._crew.lose(0.0)
+        self._close(case, first, last)
+        self._wrong_deaths(case, first, last)
+        await self._agree(case, time.monotonic())
+
+    async def _restarts(self) -> None:
+        """One member after another ends as planned and begins anew."""
+        case = self._figures.case(f"restart-every-{self._plan.restart_every_s:g}s")
+        first = await self._crew.snapshot()
+        ends = time.monotonic() + self._plan.rest_s
+        count = 0
+        while time.monotonic() < ends:
+            await self._crew.restart(self._random.randrange(self._plan.members))
+            count += 1
+            await asyncio.sleep(self._plan.restart_every_s)
+        last = await self._crew.snapshot()
+        case.notes.append(f"{case.name}: {count} restarts")
+        self._close(case, first, last)
+        self._wrong_deaths(case, first, last)
+        await self._agree(case, time.monotonic())
+
+    async def _discovery_down(self) -> None:
+        """Away for a while: from its return, until each hollow member had an answer."""
+        case = self._figures.case(f"discovery-down-{self._plan.down_s:g}s")
+        first = await self._crew.snapshot()
+        self._crew.discovery.down()
+        await asyncio.sleep(self._plan.down_s)
+        began = time.monotonic()
+        await self._crew.watch("lists", [], began)
+        self._crew.discovery.up()
+        took = await self._all_heard(case, "discovery.return_told", _DISCOVERY_WITHIN_S)
+        self._figures.spread(
+            case, "discovery.return_told", took, "s", "hollow", ("mean", "median", "p99", "max")
+        )
+        self._close(case, first, await self._crew.snapshot())
+
+    # Waiting
+
+    async def _known(self, case: Case, members: list[int], began: float) -> None:
+        """Until all others know that these are gone; of each, when it knew of all of them."""
+        views: dict[int, float] = {}
+        ends = began + self._plan.agree_within_s
+        while time.monotonic() < ends:
+            waits, took = await self._crew.watched()
+            for each in self._crew.living:
+                view = await each.view()
+                if each.number not in views and view is not None and knows_gone(view, members):
+                    views[each.number] = time.monotonic() - began
+            if not waits and len(views) == len(self._crew.living):
+                break
+            await asyncio.sleep(_LOOK_S)
+        else:
+            case.notes.append(
+                f"{case.name}: {waits} hollow members did not know within {self._plan.agree_within_s:g} s"
+            )
+            return
+        for engine, values in (("hollow", took), ("real", list(views.values()))):
+            parts = ("median", "p99", "max") if engine == "hollow" else ("median", "max")
+            self._figures.spread(case, "member.death_known", values, "s", engine, parts)
+        self._tell(f"{case.name}: known to all after {max([*took, *views.values()]):.1f} s")
+
+    async def _all_heard(self, case: Case, what: str, within_s: float) -> list[float]:
+        ends = time.monotonic() + within_s
+        while True:
+            waits, took = await self._crew.watched()
+            if not waits:
+                self._tell(f"{case.name}: all told after {max(took, default=0.0):.1f} s")
+                return took
+            if time.monotonic() > ends:
+                case.notes.append(f"{case.name}: {what}: {waits} members had none within {within_s:g} s")
+                return []
+            await asyncio.sleep(_LOOK_S)
+
+    async def _agree(self, case: Case, began: float) -> None:
+        """Until all agree; said so where they don't within the bound."""
+        ends = began + self._plan.agree_within_s
+        while time.monotonic() < ends:
+            if await self._crew.is_agreed():
+                took = time.monotonic() - began
+                self._figures.sample(case, "member.agreed_after", took, "s", "max")
+                self._tell(f"{case.name}: all agree after {took:.1f} s")
+                return
+            await asyncio.sleep(_LOOK_S)
+        case.notes.append(f"{case.name}: not agreed within {self._plan.agree_within_s:g} s")
+        self._tell(case.notes[-1])
+
+    # Figures
+
+    def _close(self, case: Case, first: Snapshot, last: Snapshot, absent: set[int] | None = None) -> None:
+        self._figures.between(case, first, last, self._crew.gone | (absent or set()))
+
+    def _wrong_deaths(self, case: Case, first: Snapshot, last: Snapshot) -> None:
+        """Lives called dead that were not, a member and hour."""
+        hours = self._plan.members * (last.at - first.at) / 3_600.0
+        count = len(last.wrongly_dead - first.wrongly_dead)
+        self._figures.sample(case, "member.wrong_deaths", count / hours, "1/h")
--- /dev/null
+++ b/plumtrestle/scale/worker.py
@@ -0,0 +1,211 @@
+"""A process of hollow members: `python -m plumtrestle.scale.worker`, told what to do on its standard input.
+
+Each line in is an `Order`, the first with a `Share`; each is answered by one `Reply`.  It ends when its input
+does, so that nothing outlives the run.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import random
+import resource
+import socket
+import sys
+import time
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import uvloop
+
+from micadeck.client import Address, parse_address
+from micadeck.config import parse
+from micadeck.tier.membership import life_at
+from micadeck.tier.message import State
+from plumtrestle.scale.hollow import Counts, Ground, Hollow, Watch
+from plumtrestle.scale.lag import Lag
+from plumtrestle.streams import lines_of_input
+
+
+class Share(msgspec.Struct, frozen=True):
+    """What one process holds."""
+
+    worker: int
+    seed: int
+    real: int  # members below this number are processes of their own
+    configurations: dict[int, dict[str, Any]]  # of each hollow member, without `peers`
+
+
+class Order(msgspec.Struct, frozen=True):
+    """What is to be done."""
+
+    do: str
+    members: list[int] = []  # all that it concerns, also those of others
+    amount: float = 0.0
+    peers: list[str] = []  # of `introduce`: every member's address
+
+
+class Reply(msgspec.Struct):
+    """What came of an order; each order fills what it is about."""
+
+    ports: dict[int, int] = {}
+    digests: list[int] = []  # of `look`: the tables' that differ, two at the most
+    unsettled: int = 0  # members suspected or unknown, summed over all that look
+    gone: list[int] = []  # believed dead or left, by one of them
+    waits: int = 0  # members that still wait for what is watched
+    took_s: dict[int, float] = {}  # and since when those that don't have had it, from the watch's beginning
+    counts: dict[int, tuple[int, int, int, int]] = {}  # datagrams and bytes sent, heard
+    real: list[tuple[int, int, int, int]] = []  # likewise of real members, as far as it passed here
+    wrongly_dead: list[tuple[int, int]] = []
+    lag_ms: tuple[float, float] = (0.0, 0.0)  # the loop's, since it was asked last: 99th percentile, greatest
+    cpu_s: float = 0.0
+    memory_mb: float = 0.0
+
+
+class Worker:
+    """The hollow members of this process."""
+
+    def __init__(self, share: Share) -> None:
+        self._share = share
+        self._ground = Ground(share.real, random.Random(f"hollow {share.seed} {share.worker}"))
+        self._ground.on_gone = self._gone
+        self._ground.on_told = self._told
+        self._counts = {number: Counts() for number in share.configurations}
+        self._sockets = {number: _bound() for number in share.configurations}
+        self._peers: tuple[Address, ...] = ()
+        self._alive: dict[int, Hollow] = {}
+        self._watch: Watch | None = None
+        self._is_for_lists = False  # whether the watch is for an answer of discovery
+        self.lag = Lag()
+
+    async def carry_out(self, order: Order) -> Reply:
+        match order.do:
+            case "bind":
+                return Reply(ports={each: own.getsockname()[1] for each, own in self._sockets.items()})
+            case "introduce":
+                self._peers = tuple(parse_address(each) for each in order.peers)
+            case "start":
+                await self._start(order.members)
+            case "kill":
+                self._end(order.members, lambda each: each.close())
+            case "leave":
+                self._end(order.members, lambda each: each.leave())
+            case "cut":
+                self._ground.border = order.members[0] if order.members else None
+            case "loss":
+                self._ground.loss = order.amount
+            case "watch deaths":
+                killed, observers = set(order.members), self._alive.keys() - set(order.members)
+                self._watch = Watch(order.amount, {each: set(killed) for each in observers})
+                self._is_for_lists = False
+            case "watch lists":
+                self._watch = Watch(order.amount, {each: {0} for each in self._alive})
+                self._is_for_lists = True
+            case "watched":
+                if self._watch is not None:
+                    return Reply(waits=len(self._watch.waits), took_s=self._watch.took_s)
+            case "look":
+                return self._look()
+            case "count":
+                return self._count()
+            case _:
+                raise ValueError(f"no such order: {order.do}")
+        return Reply()
+
+    async def _start(self, members: list[int]) -> None:
+        """New lives; the loop turns between two of them, so that others are heard."""
+        least = life_at(time.time()) - 1
+        for number in members:
+            self._ground.since[number] = least
+            if number in self._sockets and number not in self._alive:
+                config = parse(self._share.configurations[number])
+                config = replace(config, peers=self._peers, peer_listen=self._peers[number])
+                own = Hollow(self._ground, number, self._counts[number], self._sockets[number], config)
+                self._alive[number] = own
+                await own.start()
+                await asyncio.sleep(0)
+        gc.freeze()  # as the program does after its start
+
+    def _end(self, members: list[int], how: Any) -> None:
+        for number in members:
+            self._ground.since.pop(number, None)
+            own = self._alive.pop(number, None)
+            if own is not None:
+                how(own)
+                if self._watch is not None:
+                    self._watch.forget(number)
+
+    def _gone(self, by: int, member: int) -> None:
+        if self._watch is not None and not self._is_for_lists:
+            self._watch.heard(by, member)
+
+    def _told(self, member: int) -> None:
+        if self._watch is not None and self._is_for_lists:
+            self._watch.heard(member, 0)
+
+    def _look(self) -> Reply:
+        own = [each.members.membership for each in self._alive.values() if each.members is not None]
+        tiers = [each for each in own if each is not None]
+        if not tiers:
+            return Reply()
+        digests = {each.table.digest for each in tiers}
+        sizes = [each.size() for each in tiers]
+        gone = [
+            number for number, each in enumerate(tiers[0].table.members) if each.claim.mark & 3 >= State.DEAD
+        ]
+        unsettled = sum(each.suspected + each.unknown for each in sizes)
+        return Reply(digests=list(digests)[:2], unsettled=unsettled, gone=gone)
+
+    def _count(self) -> Reply:
+        spent = resource.getrusage(resource.RUSAGE_SELF)
+        return Reply(
+            counts={number: _plain(each) for number, each in self._counts.items()},
+            real=[_plain(each) for each in self._ground.real],
+            wrongly_dead=sorted(self._ground.wrongly_dead),
+            lag_ms=self.lag.taken_ms(),
+            cpu_s=spent.ru_utime + spent.ru_stime,
+            memory_mb=_resident_mb(),
+        )
+
+    def close(self) -> None:
+        for each in self._alive.values():
+            each.close()
+        for own in self._sockets.values():
+            own.close()
+
+
+def _bound() -> socket.socket:
+    own = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    own.setblocking(False)
+    own.bind(("127.0.0.1", 0))
+    return own
+
+
+def _plain(counts: Counts) -> tuple[int, int, int, int]:
+    sent, heard = counts.sent, counts.heard
+    return sent.datagrams, sent.size, heard.datagrams, heard.size
+
+
+def _resident_mb() -> float:
+    pages = int(Path("/proc/self/statm").read_text().split()[1])
+    return pages * resource.getpagesize() / 2**20
+
+
+async def main() -> None:
+    told = await lines_of_input()
+    worker = Worker(msgspec.json.decode(await told.readline(), type=Share))
+    lagging = asyncio.create_task(worker.lag.watch())
+    try:
+        while line := await told.readline():
+            reply = await worker.carry_out(msgspec.json.decode(line, type=Order))
+            sys.stdout.buffer.write(msgspec.json.encode(reply) + b"\n")
+            sys.stdout.buffer.flush()
+    finally:
+        lagging.cancel()
+        worker.close()
+
+
+if __name__ == "__main__":
+    uvloop.run(main())
