--- a/plumtrestle/scale/crew.py
+++ b/plumtrestle/scale/crew.py
@@ -23,7 +23,6 @@
 
 _ANSWER_WITHIN_S = 60.0
 _ENDS_WITHIN_S = 10.0
-_REAL_READY_S = 60.0
 
 
 class _Child:
@@ -146,8 +145,7 @@
         """New lives of all of these at once."""
         self.gone -= set(members)
         own = [each for each in self.real if each.number in members] + (self.off if with_off else [])
-        async with asyncio.timeout(_REAL_READY_S):
-            await asyncio.gather(self._all(Order("start", members)), *(each.start() for each in own))
+        await asyncio.gather(self._all(Order("start", members)), *(each.start() for each in own))
 
     async def kill(self, members: list[int]) -> None:
         self.gone |= set(members)
--- a/plumtrestle/scale/plan.py
+++ b/plumtrestle/scale/plan.py
@@ -22,8 +22,8 @@
 RACK_FROM = 100  # members that a tier needs before a rack of it is killed
 _MOST_A_WORKER = 125  # hollow members; one event loop carries them
 _REAL_MB, _WORKER_MB = 60.0, 60.0  # of a process before it holds members
-_HOLLOW_MB = 0.3  # of a hollow member
-_PAIR_MB = 0.004  # and for each member or server that it knows of
+_HOLLOW_MB = 0.1  # of a hollow member
+_PAIR_MB = 0.0015  # and for each member or server that it knows of
 _DESCRIPTORS = 6  # of a hollow member: its datagrams twice, its listener, calls to discovery
 _SPARE_DESCRIPTORS = 256
 
