--- a/plumtrestle/emulator/copies.py
+++ b/plumtrestle/emulator/copies.py
@@ -167,15 +167,15 @@
         self._clock, self._writer, self._rng = clock, writer, rng
         self._ready_within_s = ready_within_s
         self._held: socket.socket | None = None
-        self.door: tuple[str, int] | None = None  # of operators, at the latest process
+        self._door: tuple[str, int] | None = None  # of operators, at the latest process
         self._ahead_s = 0.0  # its clock before the true one
         self._running: dict[Process, asyncio.Task[None]] = {}  # two at an upgrade; each with its watch
         self._paused = 0
         self.lifecycle = asyncio.Lock()
         (folder / "tmp").mkdir(parents=True)
         host = f"127.0.{copy.number // 250 + 1}.{copy.number % 250 + 1}"
-        self.listen = (host, free_port(host, socket.SOCK_STREAM))
-        self.peer_listen = (host, free_port(host, socket.SOCK_DGRAM))
+        self.listen = (host, _free_port(host, socket.SOCK_STREAM))
+        self.peer_listen = (host, _free_port(host, socket.SOCK_DGRAM))
 
     def configure(self, discovery: str, peers: list[str], everyone: str) -> None:
         """What its configuration says of others; each start adds a seed and the list."""
@@ -231,7 +231,7 @@
         descriptors: tuple[int, ...] = ()
         door: tuple[str, int] | None = None
         if self._day.sidecars.console:
-            door = (self.listen[0], free_port(self.listen[0], socket.SOCK_STREAM))
+            door = (self.listen[0], _free_port(self.listen[0], socket.SOCK_STREAM))
             environment["BALANCER_CONSOLE"] = _text(door)
         if self._held is not None:
             descriptors = (self._held.fileno(),)
@@ -245,7 +245,7 @@
             descriptors,
             ordinary,
         )
-        self.process, self.door = process, door
+        self.process, self._door = process, door
         self.tell("started", life)
         self._running[process] = asyncio.create_task(self._watch(process, life))
         return process, life, door
@@ -289,10 +289,10 @@
 
     async def figures(self) -> None:
         """Ask it for its figures, where it has a door for operators."""
-        process, life, door = self.process, self.life, self.door
+        process, life, door = self.process, self.life, self._door
         if door is None or process is None or process.ended.is_set() or self._paused:
             return
-        told = await asked(door, "/api/telemetry")
+        told = await _asked(door, "/api/telemetry")
         if told is not None:
             given = json.loads(told)
             self._writer.write(
@@ -405,14 +405,14 @@
     return f"{address[0]}:{address[1]}"
 
 
-def free_port(host: str, kind: int) -> int:
+def _free_port(host: str, kind: int) -> int:
     """A port that the system chooses.  The host is one copy's alone, so nobody else takes it meanwhile."""
     with socket.socket(socket.AF_INET, kind) as own:
         own.bind((host, 0))
         return int(own.getsockname()[1])
 
 
-async def asked(address: tuple[str, int], path: str) -> bytes | None:
+async def _asked(address: tuple[str, int], path: str) -> bytes | None:
     """The body of a 200 answer; None where there is no such answer."""
     try:
         async with asyncio.timeout(1.0):
@@ -428,4 +428,4 @@
 
 
 async def _says_yes(address: tuple[str, int], path: str) -> bool:
-    return await asked(address, path) is not None
+    return await _asked(address, path) is not None
--- a/plumtrestle/scale/real.py
+++ b/plumtrestle/scale/real.py
@@ -11,7 +11,7 @@
 
 from plumtrestle import events as log
 from plumtrestle.clock import DayClock
-from plumtrestle.emulator.copies import Sidecar, asked
+from plumtrestle.emulator.copies import Sidecar, _asked
 from plumtrestle.world.day import Day
 
 _GONE = "dl"  # letters of a view
@@ -49,9 +49,9 @@
 
     async def view(self) -> str | None:
         """What it believes of all members, a letter each; None where it does not say."""
-        if self.door is None or not self.is_alive:
+        if self._door is None or not self.is_alive:
             return None
-        told = await asked(self.door, "/api/telemetry")
+        told = await _asked(self._door, "/api/telemetry")
         if told is None:
             return None
         given: dict[str, Any] = json.loads(told)
