--- a/plumtrestle/scale/play.py
+++ b/plumtrestle/scale/play.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import tempfile
 import time
@@ -25,8 +26,9 @@
     """Play it; raise PlayError if it may not be played here.  `folder` keeps what processes write."""
     check(plan)
     figures = Figures(plan)
-    with tempfile.TemporaryDirectory(prefix="scale-") as own:
-        crew = Crew(plan, root, folder or Path(own), command)
+    with contextlib.ExitStack() as stack:
+        own = folder or Path(stack.enter_context(tempfile.TemporaryDirectory(prefix="scale-")))
+        crew = Crew(plan, root, own, command)
         try:
             async with asyncio.timeout(plan.within_s):
                 await crew.prepare()
