--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -20,6 +20,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 from bench.process import HOST, cpu_s, free_ports, held_to, resident_mb, started, wait_until_it_answers
 from bench.server import entry
@@ -33,7 +34,7 @@
 STRIDE = 1.4  # from rate to rate, at first
 STEP = 1.1  # and then
 MOST = 6_000.0  # requests a second that the load tool can send in time
-SETTINGS = {
+SETTINGS: dict[str, Any] = {
     "lanes": [
         {"name": "get", "giveUpUs": 1_000_000, "promiseUs": 500_000, "repeat": "read_like"},
         {"name": "post", "giveUpUs": 1_000_000, "promiseUs": 500_000, "repeat": "non_idempotent"},
--- /dev/null
+++ b/bench/decide.py
@@ -0,0 +1,211 @@
+"""The decisions and the list by themselves: `python -m bench.decide decide|list`, without sockets.
+
+Compiled, as `run` starts them: it starts itself anew with what `build` has left.  Medians over rounds, each
+with a seed of its own; data goes to docs/capacity.
+`decide`: time of a request (it arrives, it is placed, its answer comes; the timers that fall due meanwhile)
+by servers listed.  `list`: bytes of a whole list, and the time to read it and take it over, by stage.
+"""
+
+from __future__ import annotations
+
+import argparse
+import heapq
+import json
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+from bench.__main__ import SETTINGS
+from bench.listed import listed
+from bench.sidecars import how_built, restart_as_built
+from bench.spread import show, spread
+from magpiemux import Balancer
+from magpiemux.adapter import settings_from_wire
+from magpiemux.interface import (
+    Action,
+    AttemptEnded,
+    Event,
+    Fail,
+    Limits,
+    ListKind,
+    Outcome,
+    Refuse,
+    RequestArrived,
+    Send,
+    ServersListed,
+    SetTimer,
+    TimerFired,
+)
+from micadeck.catalog import Catalog, Listing, parse_listing
+from micadeck.clock import Clock
+from micadeck.upstream import Upstream
+from plumtrestle.capacity.samples import FOLDER, Sample, save
+
+SIZES = (20, 100, 300, 750, 1_500)
+GAP_US = 3_413  # between two requests at 293 a second
+SETTLING = 1_000  # requests before the first that counts
+ROUNDS = 15
+REQUESTS = 2_000  # of a round
+FIRST_PORT = 20_000
+_COLD_US = 3_600_000_000  # so that the cold stay so while they are measured
+BEGAN_US = 1_800_000_000_000_000  # by the clock of the decisions, long after the servers of a list started
+
+
+@dataclass(frozen=True)
+class Setting:
+    """What else than the length of the list may make a request dearer."""
+
+    zones: int = 5
+    cross_zone: float = 0.0  # the price of a call to another zone
+    answer_us: int = 20_000  # 6 requests in flight; at five times that 29
+    cold: float = 0.0  # part of the servers that have just started, and stay cold
+
+
+CASES = {
+    "warm": Setting(),
+    "deep": Setting(answer_us=100_000),
+    "one zone": Setting(zones=1),
+    "priced": Setting(cross_zone=0.01),
+    "one zone, priced": Setting(zones=1, cross_zone=0.01),
+    "half cold": Setting(cold=0.5),
+}
+
+
+class Player:
+    """One balancer and everybody round it: requests at a steady pace, answers with some jitter."""
+
+    def __init__(self, servers: int, setting: Setting, seed: int) -> None:
+        wire = {
+            **SETTINGS,
+            "zone": "z0",
+            "prices": {"crossZone": setting.cross_zone},
+            "guarantees": {"coldUs": _COLD_US},
+        }
+        self._balancer = Balancer(settings_from_wire(wire), seed)
+        self._random = random.Random(seed)
+        self._answer_us = setting.answer_us
+        self._now = BEGAN_US
+        self._number = 0
+        self.refused = 0
+        self._due: list[tuple[int, int, str]] = []  # at, request, server; or at, 0, a timer's token
+        known = listed(range(FIRST_PORT, FIRST_PORT + servers), setting.zones)
+        for each in known["servers"][: round(servers * setting.cold)]:
+            each["started_ms"] = BEGAN_US // 1_000
+        listing = parse_listing(known)
+        self._take(self._balancer.handle(self._now, listing.event(ListKind.REMEMBERED)))
+        self._take(self._balancer.handle(self._now + 1, listing.event()))
+
+    def play(self, requests: int) -> None:
+        for _ in range(requests):
+            self._now += GAP_US
+            while self._due and self._due[0][0] <= self._now:
+                self._fall_due(*heapq.heappop(self._due))
+            self._number += 1
+            arrived = RequestArrived(self._number, "get", None, self._number, 900_000)
+            self._take(self._balancer.handle(self._now, arrived))
+
+    def _fall_due(self, at: int, request: int, what: str) -> None:
+        event: Event = TimerFired(what)
+        if request:
+            took = self._answer_us
+            event = AttemptEnded(request, 0, what, Outcome.DELIVERED, took, True)
+        self._take(self._balancer.handle(at, event))
+
+    def _take(self, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Send):
+                at = self._now + int(self._answer_us * self._random.uniform(0.8, 1.2))
+                heapq.heappush(self._due, (at, action.request, action.server))
+            elif isinstance(action, SetTimer):
+                heapq.heappush(self._due, (self._now + action.in_us, 0, action.token))
+            elif isinstance(action, Refuse | Fail):
+                self.refused += 1
+
+
+def decide_us(servers: int, setting: Setting, rounds: int, requests: int) -> list[float]:
+    """Time a request, by round; what this harness does itself is in it.  None may be refused."""
+    out = []
+    for number in range(rounds):
+        player = Player(servers, setting, seed=number + 1)
+        player.play(SETTLING)
+        began = time.perf_counter()
+        player.play(requests)
+        out.append((time.perf_counter() - began) / requests * 1e6)
+        if player.refused:
+            raise RuntimeError(f"{player.refused} requests were refused: {servers} servers, {setting}")
+    return out
+
+
+def decide(sizes: tuple[int, ...] = SIZES, rounds: int = ROUNDS, requests: int = REQUESTS) -> list[Sample]:
+    out = []
+    for case, setting in CASES.items():
+        for size in sizes:
+            out += spread("decide.us", size, decide_us(size, setting, rounds, requests), "us", case)
+    return out
+
+
+# ---------------------------------------------------------------------------------------------------
+# Whole lists
+
+
+def timed(work: Callable[[], object]) -> float:
+    began = time.perf_counter()
+    work()
+    return (time.perf_counter() - began) * 1e6
+
+
+def take_list(body: bytes) -> dict[str, float]:
+    """Read a whole list and take it over where an equal one was held, as the sidecar does; us by stage."""
+    given = json.loads(body)
+    held = parse_listing(given)
+    catalog = Catalog(held)
+    pool = Upstream(Clock(), Limits(), 64, lambda: None)
+    pool.listed(held)
+    balancer = Balancer(settings_from_wire({**SETTINGS, "zone": "z0"}), 1)
+    balancer.handle(0, held.event(ListKind.REMEMBERED))
+    found: list[Listing] = []
+    event: list[ServersListed] = []
+    begun = catalog.begin()
+    stages: dict[str, Callable[[], object]] = {
+        "json": lambda: json.loads(body),
+        "parse": lambda: found.append(parse_listing(given)),
+        "admit": lambda: catalog.admit(found[0], begun, held.version),
+        "pool": lambda: pool.listed(found[0]),
+        "event": lambda: event.append(found[0].event()),
+        "decisions": lambda: balancer.handle(1, event[0]),
+    }
+    out = {name: timed(work) for name, work in stages.items()}
+    return {**out, "whole": sum(out.values())}
+
+
+def lists(sizes: tuple[int, ...] = SIZES, rounds: int = 25) -> list[Sample]:
+    out = []
+    for size in sizes:
+        body = json.dumps(listed(range(FIRST_PORT, FIRST_PORT + size))).encode()
+        out.append(Sample("list.bytes", size, len(body), "B"))
+        take_list(body)
+        found = [take_list(body) for _ in range(rounds)]
+        for stage in found[0]:
+            values = [each[stage] for each in found]
+            out += spread("list.parse_us", size, values, "us", stage)
+    return out
+
+
+def main() -> None:
+    asks = argparse.ArgumentParser(prog="python -m bench.decide", description=__doc__)
+    asks.add_argument("what", choices=("decide", "list"))
+    asks.add_argument("--rounds", type=int, default=15)
+    asks.add_argument("--out", type=Path, default=FOLDER, help="folder for the data (default: %(default)s)")
+    given = asks.parse_args()
+    restart_as_built("bench.decide")
+    found = decide(rounds=given.rounds) if given.what == "decide" else lists(rounds=given.rounds)
+    notes = f"A shared machine, where others ran meanwhile; decisions {how_built()}."
+    command = f"python -m bench.decide {given.what} --rounds {given.rounds}"
+    show(found)
+    print(save(f"path-{given.what}", command, found, notes=notes, folder=given.out))
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/listed.py
+++ b/bench/listed.py
@@ -10,6 +10,7 @@
 import json
 import sys
 from collections.abc import Sequence
+from typing import Any
 
 import uvloop
 
@@ -17,7 +18,7 @@
 from bench.server import Discovery, Server
 
 ZONES = 5  # in two regions; the decisions know of zones alone
-STARTED_MS = 1_790_000_000_000  # long ago: no server of the list is cold
+STARTED_MS = 1_700_000_000_000  # long ago: no server of the list is cold
 
 
 def entry(number: int, port: int, zones: int = ZONES) -> dict[str, object]:
@@ -34,7 +35,7 @@
     }
 
 
-def listed(ports: Sequence[int], zones: int = ZONES) -> dict[str, object]:
+def listed(ports: Sequence[int], zones: int = ZONES) -> dict[str, Any]:
     """A whole list of servers at these ports, in discovery's form."""
     servers = [entry(number, port, zones) for number, port in enumerate(ports)]
     return {"version": 1, "full": True, "servers": servers}
--- /dev/null
+++ b/bench/member.py
@@ -0,0 +1,182 @@
+"""Membership by itself, by the tier's size: `python -m bench.member`, without sockets or timers.
+
+Memory of one member's part (as Python's allocator counts it), and the time of one tick and of one datagram
+heard.  Each event is timed by itself and the median counts, so that what else the machine does hardly does.
+Everybody is known, as after a long rest; whom it asks answers at once with the same belief.
+"""
+
+from __future__ import annotations
+
+import argparse
+import gc
+import json
+import random
+import time
+import tracemalloc
+from collections.abc import Iterator
+from pathlib import Path
+
+from bench.sidecars import how_built, restart_as_built
+from bench.spread import show, spread
+from micadeck.clock import Clock
+from micadeck.members import Members
+from micadeck.peers import Peers
+from micadeck.tier.membership import Membership
+from micadeck.tier.message import NOBODY, VERSION, Claim, Kind, Message, State, tier_number, write
+from micadeck.tier.settings import MembershipSettings
+from micadeck.tier.view import Action, Datagram, Wake
+from plumtrestle.capacity.samples import FOLDER, Sample, save
+
+SIZES = (50, 100, 200, 400, 750, 1_000)
+EVENTS = 2_000  # timed, of each kind
+TIER = "a"
+UNIX_S = 1_800_000_000.0
+LIFE = 1_000_000
+NEWS = 12  # claims that a datagram with news carries here
+
+
+def member(size: int, seed: int = 1) -> Membership:
+    """Member 0 as after a long rest: it knows everybody, and has nothing to tell."""
+    own = Membership(0, size, TIER, MembershipSettings(), random.Random(seed), 0, UNIX_S)
+    own.start(0)
+    for number in range(1, size):
+        own.table.take(Claim.of(number, LIFE, State.PRESENT, 0, number), 0)
+    own.settle()
+    return own
+
+
+def memory_mb(size: int) -> float:
+    """What a member's part holds."""
+    member(2)  # what is made once for all
+    gc.collect()
+    tracemalloc.start()
+    own = member(size)
+    gc.collect()
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert len(own.table) == size
+    return held / 2**20
+
+
+class Rest:
+    """A member at rest and everybody else: they answer it, and ask it."""
+
+    def __init__(self, size: int) -> None:
+        self.member = member(size)
+        self._now = 0
+        self._wake = 0
+        self._questions: list[tuple[int, int]] = []  # whom it asked last, and by which number
+        self._random = random.Random(size)
+
+    def word(
+        self, sender: int, kind: Kind, question: int, claims: list[Claim], differs: bool = False
+    ) -> bytes:
+        """A datagram of another member; where its belief differs, with a sketch of a table of nobody."""
+        digest = self.member.table.digest ^ differs
+        sketch = bytes(100) if differs and kind is Kind.ASK else b""
+        message = Message(
+            VERSION, tier_number(TIER), sender, LIFE, kind, question, NOBODY, digest, 0, sketch, claims
+        )
+        return write(message)
+
+    def tick_us(self) -> float:
+        """Until the next tick, and the tick; who is asked answers at once, beside the measurement."""
+        self._now = max(self._now, self._wake)
+        began = time.perf_counter_ns()
+        actions = self.member.tick(self._now)
+        took = time.perf_counter_ns() - began
+        self._take(actions)
+        for receiver, question in self._questions:
+            self._take(self.member.heard(self._now, receiver, self.word(receiver, Kind.HERE, question, [])))
+        self._questions = []
+        return took / 1e3
+
+    def heard_us(self, claims: list[Claim], differs: bool) -> float:
+        """One question of another member."""
+        sender = self._random.randrange(1, len(self.member.table))
+        payload = self.word(sender, Kind.ASK, self._random.randrange(1 << 16), claims, differs)
+        began = time.perf_counter_ns()
+        actions = self.member.heard(self._now, sender, payload)
+        took = time.perf_counter_ns() - began
+        self._take(actions)
+        self._questions = []
+        return took / 1e3
+
+    def _take(self, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Wake):
+                self._wake = action.at
+            elif isinstance(action, Datagram) and action.receiver is not None:
+                asked = self._asked(action)
+                if asked is not None:
+                    self._questions.append((action.receiver, asked))
+
+    def _asked(self, action: Datagram) -> int | None:
+        """The number of the question that is out, where this datagram asks it."""
+        own = self.member._questions.own
+        return own.number if own is not None and own.target == action.receiver else None
+
+
+def suspects(size: int, count: int, seed: int = 2) -> Iterator[Claim]:
+    """Others' word that so many are silent, as when a zone has gone."""
+    for number in random.Random(seed).sample(range(2, size), count):
+        yield Claim.of(number, LIFE, State.SUSPECTED, 0, 1)
+
+
+def times(size: int, events: int = EVENTS) -> list[Sample]:
+    """Ticks and datagrams at rest, with news, where views differ, and while a fifth is suspected."""
+    rest = Rest(size)
+    for _ in range(20):
+        rest.tick_us()
+    out = spread("member.tick_us", size, [rest.tick_us() for _ in range(events)], "us")
+    out += spread("member.heard_us", size, [rest.heard_us([], False) for _ in range(events)], "us")
+    news = [Claim.of(each, LIFE, State.PRESENT, 0, each) for each in range(1, min(NEWS, size))]
+    values = [rest.heard_us(news, False) for _ in range(events)]
+    out += spread("member.heard_us", size, values, "us", "old news")
+    values = [rest.heard_us([], True) for _ in range(events)]
+    out += spread("member.heard_us", size, values, "us", "views differ")
+    for claim in suspects(size, size // 5):
+        rest.heard_us([claim], False)
+    values = [rest.heard_us([], False) for _ in range(events)]
+    out += spread("member.heard_us", size, values, "us", "a fifth suspected")
+    values = [rest.tick_us() for _ in range(12)]  # few: their time is up at 45 s or later
+    return out + spread("member.tick_us", size, values, "us", "a fifth suspected")
+
+
+def figures(size: int, rounds: int = 50) -> list[Sample]:
+    """The operators' figures of a tier in which everybody else is dead: the longest that they get."""
+    own = Members(0, TIER, 1, Clock(), Peers((), None, 0, lambda sender, data: None), _silent, _silent)
+    own.membership = member(size)
+    for number in range(1, size):
+        own.membership.table.take(Claim.of(number, LIFE, State.DEAD, 0, 1), 1)
+    values, body = [], b""
+    for _ in range(rounds):
+        began = time.perf_counter_ns()
+        body = json.dumps(own.figures()).encode()
+        values.append((time.perf_counter_ns() - began) / 1e3)
+    out = spread("telemetry.us", size, values, "us", "members dead")
+    return [Sample("telemetry.bytes", size, len(body), "B", "members dead"), *out]
+
+
+def _silent(_: object) -> None:
+    """Nobody listens."""
+
+
+def main() -> None:
+    asks = argparse.ArgumentParser(prog="python -m bench.member", description=__doc__)
+    asks.add_argument("--events", type=int, default=EVENTS)
+    asks.add_argument("--out", type=Path, default=FOLDER, help="folder for the data (default: %(default)s)")
+    given = asks.parse_args()
+    restart_as_built("bench.member")
+    found: list[Sample] = []
+    for size in SIZES:
+        found.append(Sample("member.memory", size, memory_mb(size), "MB"))
+        found += [*times(size, given.events), *figures(size)]
+    show(found)
+    notes = f"A shared machine, where others ran meanwhile; each event timed alone. Decisions {how_built()}."
+    command = f"python -m bench.member --events {given.events}"
+    print(save("path-member", command, found, notes=notes, folder=given.out))
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/path.py
+++ b/bench/path.py
@@ -134,7 +134,7 @@
 
 
 def differences(found: Blocks, way: int, rate: float, part: str) -> list[float]:
-    """What a way adds at a quantile, by round; for the 99.9th, which few calls of a round lie beyond, in all."""
+    """What a way adds at a quantile, by round; at the 99.9th, beyond which a round has few calls, in all."""
     pairs = [
         (one.played, two.played) for one, two in zip(found.of[way, rate], found.of[DIRECT, rate], strict=True)
     ]
@@ -190,7 +190,7 @@
 
 
 def is_lost(found: Blocks, way: int, rate: float, part: str) -> bool:
-    """Whether a figure says nothing: the tool was later than what is measured, or noise ate the difference."""
+    """Whether a figure says nothing: the tool was later than that, or noise ate the difference."""
     return late(found, way, rate, part) >= statistics.median(differences(found, way, rate, part))
 
 
@@ -199,7 +199,8 @@
 
     It is not valid where calls failed, or the median or the 99th percentile of a sidecar says nothing.
     """
-    wrong, left_out = [], []
+    wrong: list[str] = []
+    left_out: list[str] = []
     for way, rate in sorted(found.of):
         whole = found.pooled(way, rate)
         name = f"{name_of(way)} at {case_of(rate)}"
--- a/bench/sidecars.py
+++ b/bench/sidecars.py
@@ -38,6 +38,18 @@
     return any((NATIVE / "magpiemux").glob("balancer*.so"))
 
 
+def how_built() -> str:
+    return "compiled" if is_compiled() else "not compiled"
+
+
+def restart_as_built(module: str) -> None:
+    """Start this process anew with what `build` has left in front, where it was not started so."""
+    path = f"{NATIVE}{os.pathsep}{ROOT}"
+    if is_compiled() and os.environ.get("PYTHONPATH") != path:
+        command = [sys.executable, "-P", "-m", module, *sys.argv[1:]]
+        os.execve(sys.executable, command, {**os.environ, "PYTHONPATH": path})
+
+
 def configuration(
     discovery: int,
     ports: Sequence[int],
@@ -119,13 +131,17 @@
 
 @contextmanager
 def sidecar(
-    folder: Path, given: dict[str, object], environment: dict[str, str] | None = None
+    folder: Path,
+    given: dict[str, object],
+    environment: dict[str, str] | None = None,
+    *,
+    piped: bool = False,
 ) -> Iterator[Started]:
-    """A sidecar with this configuration, in a folder of its own; its log is `folder`/log."""
+    """A sidecar with this configuration, in a folder of its own; its log is `folder`/log, or a pipe."""
     folder.mkdir(parents=True)
     config = folder / "config.json"
     config.write_text(json.dumps(given))
     told = {"BALANCER_CONFIG": str(config), "TMPDIR": str(folder), **(environment or {})}
     with ExitStack() as stack:
-        log = stack.enter_context((folder / "log").open("wb"))
+        log = subprocess.PIPE if piped else stack.enter_context((folder / "log").open("wb"))
         yield Started(stack.enter_context(running(run_command(), told, log)), folder / "log")
