--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 
-.PHONY: setup test lint check native-check bench bench-ground fuzz explore membership
+.PHONY: setup test lint check native-check bench bench-ground path fuzz explore membership
 
 FUZZ_S ?= 60
 
@@ -36,6 +36,20 @@
 bench-ground: setup
 	$(BIN)/python -m bench.ground
 
+# The data path and one process at size, some 25 minutes: data to docs/capacity/path-*.json.
+path: setup
+	$(BIN)/python deploy/native.py
+	$(BIN)/python -m bench.path latency
+	$(BIN)/python -m bench.path rates
+	$(BIN)/python -m bench.decide decide
+	$(BIN)/python -m bench.decide list
+	$(BIN)/python -m bench.member
+	$(BIN)/python -m bench.startup ready
+	$(BIN)/python -m bench.startup memory
+	$(BIN)/python -m bench.startup log
+	$(BIN)/python -m bench.startup telemetry
+	$(BIN)/python -m bench.stages
+
 # The codec against h11, then membership's datagrams, guided by coverage, FUZZ_S seconds each; finds go to build/
 fuzz: setup
 	$(BIN)/pip install -q --disable-pip-version-check atheris==3.0.0
--- a/bench/sidecars.py
+++ b/bench/sidecars.py
@@ -42,12 +42,17 @@
     return "compiled" if is_compiled() else "not compiled"
 
 
+def native_environment() -> dict[str, str]:
+    """What has Python look first at what `build` has left."""
+    return {"PYTHONPATH": f"{NATIVE}{os.pathsep}{ROOT}"}
+
+
 def restart_as_built(module: str) -> None:
     """Start this process anew with what `build` has left in front, where it was not started so."""
-    path = f"{NATIVE}{os.pathsep}{ROOT}"
-    if is_compiled() and os.environ.get("PYTHONPATH") != path:
+    wanted = native_environment()
+    if is_compiled() and os.environ.get("PYTHONPATH") != wanted["PYTHONPATH"]:
         command = [sys.executable, "-P", "-m", module, *sys.argv[1:]]
-        os.execve(sys.executable, command, {**os.environ, "PYTHONPATH": path})
+        os.execve(sys.executable, command, {**os.environ, **wanted})
 
 
 def configuration(
