Measure what membership costs a member by size, at rest and in each event, as data

Change: trials in virtual time (killed, rack, zone, regions cut and healed, all started at once, restarts, loss, under load), with datagrams and bytes heard beside sent; a word to all counts as one datagram each.

--- /dev/null
+++ b/plumtrestle/tier/trial.py
@@ -0,0 +1,157 @@
+"""One tier in virtual time under one event: what each member sent and heard, and when all knew and agreed."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import numpy as np
+
+from micadeck.tier.message import State
+from micadeck.tier.view import News
+from plumtrestle.capacity.samples import Sample
+from plumtrestle.tier.virtual import S, Told, VirtualTier
+
+REQUESTS_PER_S = 293  # 220,000 calls a second over 750 sidecars
+BACK_AFTER_S = 5.0  # a member that was restarted
+_STEP_S = 0.25
+_COUNTS = ("sent", "heard", "sent_bytes", "heard_bytes")
+_UNITS = {"sent": "1/s", "heard": "1/s", "sent_bytes": "B/s", "heard_bytes": "B/s"}
+
+
+class Overdue(Exception):
+    """What was waited for did not come within the bound; the text names it."""
+
+
+class Trial:
+    """A tier, who was killed in it, and who was wrongly called dead."""
+
+    def __init__(self, size: int, seed: int, *, loss: float = 0.0, is_known: bool = True) -> None:
+        self.size, self.seed = size, seed
+        self.samples: list[Sample] = []
+        self.tier = VirtualTier(size, seed, loss=loss, is_known=is_known)
+        self.tier.on_told = self._told
+        self._born = {number: self.tier.of(number).life for number in range(size)}
+        self._killed: dict[int, int] = {}  # when
+        self._known: dict[int, dict[int, int]] = {}  # of a killed one: who knew when
+        self._wrong: set[tuple[int, int]] = set()  # member and life
+        self._has_been_cut = False
+        self._ended = {number: dict.fromkeys(_COUNTS, 0) for number in range(size)}  # by earlier processes
+        self._began_at = 0
+        self._began_with: dict[int, dict[str, int]] = {}
+        self.begin()
+
+    # Faults
+
+    def kill(self, numbers: Sequence[int]) -> None:
+        """These end without a word, at once."""
+        for number in numbers:
+            self._killed[number] = self.tier.queue.now
+            self._known[number] = {}
+            self.tier.kill(number)
+
+    def cut(self, seconds: float) -> None:
+        """Halves that do not hear each other for so long."""
+        self._has_been_cut = True
+        self.tier.is_cut = self._were_cut
+        self.tier.run(seconds)
+        self.tier.is_cut = lambda one, other: False
+
+    def restart(self, number: int) -> None:
+        """A member leaves by its own word, and a process of it begins anew a little later."""
+        for own in self.tier.processes[number]:
+            for count in _COUNTS:
+                self._ended[number][count] += getattr(own, count)
+        self.tier.leave(number)
+        self.tier.queue.after(int(BACK_AFTER_S * S), self._start, number)
+
+    def _start(self, number: int) -> None:
+        self._born[number] = self.tier.start(number).membership.life
+
+    def load(self) -> None:
+        """From now on every member is told of the requests that it takes, once a second."""
+        for number in range(self.size):
+            self.tier.queue.after(number * S // self.size, self._worked, number)
+
+    def _worked(self, number: int) -> None:
+        for own in self.tier.processes.get(number, []):
+            own.membership.worked(self.tier.queue.now, REQUESTS_PER_S)
+        self.tier.queue.after(S, self._worked, number)
+
+    # What is waited for
+
+    def until_known(self, within_s: float) -> None:
+        """Run until all that live know of each that was killed; raise Overdue."""
+        began, wanted = self.tier.queue.now, len(self.tier.processes)
+        while any(len(each) < wanted for each in self._known.values()):
+            if self.tier.queue.now - began > within_s * S:
+                raise Overdue(f"deaths not known to all within {within_s:g} s")
+            self.tier.run(_STEP_S)
+
+    def until_agreed(self, within_s: float) -> float:
+        """Run until all agree; give the seconds that it took, or raise Overdue."""
+        found = self.tier.until_agreed(within_s, _STEP_S)
+        if found is None:
+            raise Overdue(f"no agreement within {within_s:g} s")
+        return found
+
+    # What is counted
+
+    def begin(self) -> None:
+        """Count anew from here."""
+        self._began_at = self.tier.queue.now
+        self._began_with = {number: self._totals(number) for number in range(self.size)}
+        self._wrong.clear()
+
+    def _totals(self, number: int) -> dict[str, int]:
+        own = self.tier.processes.get(number, [])
+        return {
+            count: self._ended[number][count] + sum(getattr(each, count) for each in own) for count in _COUNTS
+        }
+
+    def add(self, measure: str, value: float, unit: str, case: str, part: str) -> None:
+        self.samples.append(
+            Sample(measure, self.size, round(value, 4), unit, case, part, engine="virtual", seed=self.seed)
+        )
+
+    def costs(self, case: str) -> None:
+        """What a second cost each member that lives, since `begin`, and how many were wrongly called dead."""
+        seconds = (self.tier.queue.now - self._began_at) / S
+        alive = self.tier.alive
+        ends = {number: self._totals(number) for number in alive}
+        for count in _COUNTS:
+            rates = [(ends[each][count] - self._began_with[each][count]) / seconds for each in alive]
+            measure = f"member.{count}" if count.endswith("bytes") else f"member.{count}_datagrams"
+            self._parts(measure, rates, _UNITS[count], case)
+        wrong = len(self._wrong) / (len(alive) * seconds / 3_600.0)
+        self.add("member.wrong_deaths", wrong, "1/h", case, "mean")
+
+    def _parts(self, measure: str, values: Sequence[float], unit: str, case: str) -> None:
+        self.add(measure, float(np.mean(values)), unit, case, "mean")
+        self.add(measure, float(np.quantile(values, 0.99, method="higher")), unit, case, "p99")
+        self.add(measure, max(values), unit, case, "max")
+
+    def deaths(self, case: str) -> None:
+        """How long each that lives did not know of each that was killed."""
+        waits = [(at - self._killed[killed]) / S for killed, by in self._known.items() for at in by.values()]
+        self.add("member.death_known", float(np.median(waits)), "s", case, "median")
+        self.add("member.death_known", max(waits), "s", case, "max")
+
+    def _told(self, told: Told) -> None:
+        """Deaths alone: of who was killed, when each knew; of who lives, which life was called dead.
+
+        Across a cut that is no error, also where it is told later.
+        """
+        at, hearer, what = told
+        if not isinstance(what, News) or what.state is not State.DEAD:
+            return
+        if what.member in self._killed:
+            self._known[what.member].setdefault(hearer, at)
+        elif what.member in self.tier.processes and what.life >= self._born[what.member]:
+            if not self._were_cut(what.by, what.member):
+                self._wrong.add((what.member, what.life))
+
+    def _were_cut(self, one: int, other: int) -> bool:
+        return self._has_been_cut and self._side(one) is not self._side(other)
+
+    def _side(self, number: int) -> bool:
+        return number < self.size // 2
--- a/plumtrestle/tier/virtual.py
+++ b/plumtrestle/tier/virtual.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from micadeck.tier.membership import Membership
 from micadeck.tier.message import Claim, State
@@ -43,7 +43,7 @@
         self._paused = False
         self._waiting: list[tuple[int, bytes]] = []  # what came while it was paused
         self._wake = _NEVER
-        self.sent = self.sent_bytes = 0
+        self.sent = self.sent_bytes = self.heard = self.heard_bytes = 0
         self.membership = Membership(
             number,
             size,
@@ -59,6 +59,8 @@
         if self._paused:
             self._waiting.append((sender, payload))
         elif self.is_alive:
+            self.heard += 1
+            self.heard_bytes += len(payload)
             self.carry_out(self.membership.heard(self._tier.queue.now, sender, payload))
 
     def carry_out(self, actions: list[Action]) -> None:
@@ -71,7 +73,7 @@
                     self._wake = action.at
                     self._tier.queue.at(action.at + self.late_us, self._tick, action.at)
                 case News() | Doubled() | Slept():
-                    self._tier.told.append((now, self.number, action))
+                    self._tier.on_told((now, self.number, action))
 
     def _tick(self, at: int) -> None:
         if self.is_alive and not self._paused and at == self._wake:
@@ -118,6 +120,7 @@
         self.random = random.Random(seed)
         self.queue = Queue()
         self.told: list[Told] = []
+        self.on_told: Callable[[Told], None] = self.told.append  # or whoever needs less than all of it
         self.double = 0.0
         self.late = 0.0  # part of the datagrams that come up to a second late, out of order
         # Whether a datagram from one to another is lost to a cut now, and until when one is held back.
@@ -178,10 +181,12 @@
     # What lies between
 
     def carry(self, source: Process, datagram: Datagram) -> None:
-        everybody = (each for each in range(self.size) if each != source.number)
-        source.sent += 1
-        source.sent_bytes += len(datagram.payload)
-        for target in everybody if datagram.receiver is None else (datagram.receiver,):
+        targets: Sequence[int] = (datagram.receiver,) if datagram.receiver is not None else ()
+        if datagram.receiver is None:
+            targets = [each for each in range(self.size) if each != source.number]
+        source.sent += len(targets)  # a word to all is as many datagrams
+        source.sent_bytes += len(targets) * len(datagram.payload)
+        for target in targets:
             if self.is_cut(source.number, target) or self.random.random() < self.loss:
                 continue
             late = self.random.randrange(S) if self.random.random() < self.late else 0
