--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 
-.PHONY: setup test lint check native-check bench bench-ground fuzz explore membership slopes
+.PHONY: setup test lint check native-check bench bench-ground fuzz explore membership slopes line
 
 FUZZ_S ?= 60
 
@@ -55,3 +55,7 @@
 # What membership costs a member by the tier's size, in peace and in each event: data of docs/CAPACITY.md.
 slopes: setup
 	$(BIN)/python -m plumtrestle.tier.slopes $(CASES)
+
+# How soon all sidecars have an answer again after discovery was down, by their number: data of docs/CAPACITY.md.
+line: setup
+	$(BIN)/python -m plumtrestle.tier.line
--- a/plumtrestle/tier/slopes.py
+++ b/plumtrestle/tier/slopes.py
@@ -22,6 +22,7 @@
 _REST_S = 120.0
 _RESTARTS_S = 300.0
 _RESTART_EVERY_S = 10.0  # at 750 members; as often for each member at other sizes
+_RELEASE_S = 300.0
 _A_DAY_S = 86_400.0 / 95  # between two restarts there on an ordinary day
 _KNOWN_WITHIN_S = 900.0
 _AGREED_WITHIN_S = 1_800.0
@@ -115,6 +116,17 @@
     trial.costs(case)
 
 
+def _release(trial: Trial, case: str) -> None:
+    trial.tier.run(_WARM_S)
+    trial.begin()
+    for number in range(trial.size):
+        trial.tier.queue.after(int((number + 0.5) / trial.size * _RELEASE_S * 1e6), trial.upgrade, number)
+    trial.tier.run(_RELEASE_S)
+    trial.costs(case)
+    agreed = trial.until_agreed(_AGREED_WITHIN_S)
+    trial.add("member.agreed_after", agreed, "s", case, "max")
+
+
 _HEAL = (
     "halves do not hear each other; costs from the heal until all agree, and as -while-cut while cut"
     "; deaths across the cut are not counted as wrong ones"
@@ -139,6 +151,11 @@
         f" {_A_DAY_S / _RESTART_EVERY_S:.0f} times a day's rate; each leaves by its word and is back"
         f" {BACK_AFTER_S:g} s later",
     ),
+    "release": Case(
+        _release,
+        f"each upgraded once within {_RELEASE_S:g} s, two processes side by side for a second; agreed: after the"
+        " last",
+    ),
     "region-cut-600s-load": Case(_cut(600.0, is_loaded=True), _LOADED, seeds=(1, 2), seeds_at_most=(1,)),
     "region-cut-3600s": Case(_cut(3_600.0), _HEAL, sizes=(100, 200, 400, 750), seeds=(1,)),
 }
--- a/plumtrestle/tier/trial.py
+++ b/plumtrestle/tier/trial.py
@@ -9,10 +9,11 @@
 from micadeck.tier.message import State
 from micadeck.tier.view import News
 from plumtrestle.capacity.samples import Sample
-from plumtrestle.tier.virtual import S, Told, VirtualTier
+from plumtrestle.tier.virtual import Process, S, Told, VirtualTier
 
 REQUESTS_PER_S = 293  # 220,000 calls a second over 750 sidecars
 BACK_AFTER_S = 5.0  # a member that was restarted
+OVERLAP_US = S  # of both processes at an upgrade
 _STEP_S = 0.25
 _COUNTS = ("sent", "heard", "sent_bytes", "heard_bytes")
 _UNITS = {"sent": "1/s", "heard": "1/s", "sent_bytes": "B/s", "heard_bytes": "B/s"}
@@ -58,12 +59,24 @@
 
     def restart(self, number: int) -> None:
         """A member leaves by its own word, and a process of it begins anew a little later."""
-        for own in self.tier.processes[number]:
-            for count in _COUNTS:
-                self._ended[number][count] += getattr(own, count)
+        ended = self.tier.processes[number]
         self.tier.leave(number)
+        self._keep(number, ended)
         self.tier.queue.after(int(BACK_AFTER_S * S), self._start, number)
 
+    def upgrade(self, number: int) -> None:
+        """A process with the next version goes on beside the present one, which ends a little later."""
+        ended = list(self.tier.processes[number])
+        self.tier.upgrade(number, OVERLAP_US)
+        self._born[number] = self.tier.of(number).life
+        self.tier.queue.after(OVERLAP_US, self._keep, number, ended)
+
+    def _keep(self, number: int, ended: Sequence[Process]) -> None:
+        """What processes sent and heard that are no more."""
+        for own in ended:
+            for count in _COUNTS:
+                self._ended[number][count] += getattr(own, count)
+
     def _start(self, number: int) -> None:
         self._born[number] = self.tier.start(number).membership.life
 
