--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 
-.PHONY: setup test lint check native-check bench bench-ground fuzz explore membership slopes line
+.PHONY: setup test lint check native-check bench bench-ground fuzz explore membership slopes line capacity
 
 FUZZ_S ?= 60
 
@@ -59,3 +59,7 @@
 # How soon all sidecars have an answer again after discovery was down, by their number: data of docs/CAPACITY.md.
 line: setup
 	$(BIN)/python -m plumtrestle.tier.line
+
+# docs/CAPACITY.md and its plots, from the runs in docs/capacity/ and plumtrestle/capacity/rows.toml.
+capacity: setup
+	$(BIN)/python -m plumtrestle.capacity
--- a/plumtrestle/tier/slopes.py
+++ b/plumtrestle/tier/slopes.py
@@ -89,7 +89,7 @@
         trial.tier.run(_WARM_S)
         trial.begin()
         trial.cut(seconds)
-        trial.costs(f"{case}-while-cut")
+        trial.costs(f"{case}-during")
         trial.begin()
         agreed = trial.until_agreed(_AGREED_WITHIN_S)
         trial.costs(case)
@@ -128,7 +128,7 @@
 
 
 _HEAL = (
-    "halves do not hear each other; costs from the heal until all agree, and as -while-cut while cut"
+    "halves do not hear each other; costs from the heal until all agree, and as -during while cut"
     "; deaths across the cut are not counted as wrong ones"
 )
 _LOADED = f"{REQUESTS_PER_S} requests a second told to each member, {_HEAL}"
@@ -143,7 +143,7 @@
     "start-at-once": Case(
         _started, "everybody at the same moment, knowing nobody; costs until all agree", is_known=False
     ),
-    "loss-5%": Case(_rest, f"{_REST_S:g} s, 5% of all datagrams lost", loss=0.05),
+    "loss-5": Case(_rest, f"{_REST_S:g} s, 5% of all datagrams lost", loss=0.05),
     "load": Case(_loaded, f"{_REST_S:g} s, {REQUESTS_PER_S} requests a second told to each member"),
     "restarts": Case(
         _restarts,
@@ -153,8 +153,7 @@
     ),
     "release": Case(
         _release,
-        f"each upgraded once within {_RELEASE_S:g} s, two processes side by side for a second; agreed: after the"
-        " last",
+        f"each upgraded once within {_RELEASE_S:g} s, two processes at once for a second; agreed: after it",
     ),
     "region-cut-600s-load": Case(_cut(600.0, is_loaded=True), _LOADED, seeds=(1, 2), seeds_at_most=(1,)),
     "region-cut-3600s": Case(_cut(3_600.0), _HEAL, sizes=(100, 200, 400, 750), seeds=(1,)),
@@ -190,7 +189,7 @@
             notes.append(f"{size} members, seed {seed}: {fault}")
             valid = False
     path = save(
-        f"tier-{name.replace('%', '')}",
+        f"tier-{name}",
         f'make slopes CASES="{name}"',
         samples,
         valid=valid,
--- /dev/null
+++ b/tests/test_slopes.py
@@ -0,0 +1,79 @@
+"""Trials of the tier by size: what they count is what was sent, known and agreed, and the same for a seed."""
+
+from __future__ import annotations
+
+import pytest
+
+from plumtrestle.capacity.samples import Sample
+from plumtrestle.tier.slopes import CASES, played
+from plumtrestle.tier.trial import Overdue, Trial
+
+SIZE = 20
+
+
+def value(samples: list[Sample], measure: str, part: str, case: str) -> float:
+    (found,) = [
+        each.value for each in samples if (each.measure, each.part, each.case) == (measure, part, case)
+    ]
+    return found
+
+
+def test_a_seed_gives_the_same_again() -> None:
+    assert played("region-cut-60s", SIZE, 3) == played("region-cut-60s", SIZE, 3)
+    assert played("region-cut-60s", SIZE, 3) != played("region-cut-60s", SIZE, 4)
+
+
+def test_at_rest_what_is_sent_is_heard() -> None:
+    samples = played("rest", SIZE, 1)
+    sent = value(samples, "member.sent_bytes", "mean", "rest")
+    assert sent == pytest.approx(value(samples, "member.heard_bytes", "mean", "rest"), rel=0.01)
+    assert value(samples, "member.sent_datagrams", "max", "rest") <= 1.1  # the budget at rest
+    assert value(samples, "member.wrong_deaths", "mean", "rest") == 0.0
+
+
+def test_a_death_is_known_to_all_and_no_wrong_one() -> None:
+    samples = played("zone", SIZE, 1)
+    median = value(samples, "member.death_known", "median", "zone")
+    assert 0.0 < median <= value(samples, "member.death_known", "max", "zone")
+    assert value(samples, "member.wrong_deaths", "mean", "zone") == 0.0
+
+
+def test_deaths_across_a_cut_are_not_wrong_ones() -> None:
+    samples = played("region-cut-120s", SIZE, 1)
+    assert value(samples, "member.wrong_deaths", "mean", "region-cut-120s-during") == 0.0
+    assert value(samples, "member.agreed_after", "max", "region-cut-120s") > 0.0
+
+
+def test_a_living_member_that_is_called_dead_is_counted() -> None:
+    trial = Trial(SIZE, 1)
+    trial.tier.processes[3][0].pause()
+    trial.tier.run(60.0)
+    trial.costs("paused")
+    assert value(trial.samples, "member.wrong_deaths", "mean", "paused") == pytest.approx(
+        3.0
+    )  # 1 of 20 a minute
+
+
+@pytest.mark.parametrize("case", ["restarts", "release"])
+def test_who_begins_anew_is_not_called_dead_wrongly_and_keeps_its_counts(case: str) -> None:
+    samples = played(case, SIZE, 1)
+    assert value(samples, "member.wrong_deaths", "mean", case) == 0.0
+    mean = value(samples, "member.sent_datagrams", "mean", case)
+    assert mean == pytest.approx(value(samples, "member.heard_datagrams", "mean", case), rel=0.05)
+
+
+def test_requests_raise_what_may_be_sent() -> None:
+    at_rest = value(played("rest", SIZE, 1), "member.sent_datagrams", "mean", "rest")
+    loaded = value(played("load", SIZE, 1), "member.sent_datagrams", "mean", "load")
+    assert loaded > 1.5 * at_rest
+
+
+def test_what_does_not_come_in_time_is_said() -> None:
+    trial = Trial(SIZE, 1)
+    trial.kill([1])
+    with pytest.raises(Overdue, match="within 1 s"):
+        trial.until_known(1.0)
+
+
+def test_every_slope_has_four_sizes() -> None:
+    assert not [name for name, case in CASES.items() if len({size for size, _ in case.cells()}) < 4]
