Say on the page of costs which events have a figure, by role and kind

Need: what is not covered has to be seen at a glance. Change: rows name their kind; a table of roles by kinds. Measured: test_capacity passes.

--- a/plumtrestle/capacity/page.py
+++ b/plumtrestle/capacity/page.py
@@ -6,9 +6,10 @@
 import re
 import statistics
 from collections.abc import Iterable, Mapping, Sequence
+from typing import get_args
 
 from plumtrestle.capacity.feeds import Feed, Figure, NotMeasured, figure
-from plumtrestle.capacity.rows import Filled, Table, Unfilled, fill
+from plumtrestle.capacity.rows import Filled, Kind, Table, Unfilled, fill
 from plumtrestle.capacity.samples import Run
 from plumtrestle.report import plots
 
@@ -60,7 +61,7 @@
     places = _places(table, runs)
     given = table.given | {"calls_each": table.given["calls_per_s"] / table.given["sidecars"]}
     opening = _put(_OPENING, {name: number(value) for name, value in given.items()})
-    parts = [opening, *_roles(table, filled, places), _absent(table)]
+    parts = [opening, _covered(table, filled), *_roles(table, filled, places), _absent(table)]
     figures = used(filled)
     if figures:
         parts.append(_slopes(figures))
@@ -95,6 +96,17 @@
 # Rows
 
 
+def _covered(table: Table, filled: Sequence[Filled]) -> str:
+    """Which events have a figure, by role and kind."""
+    kinds = get_args(Kind)
+    lines = _head("role", *kinds)
+    for role in dict.fromkeys(each.role for each in table.row):
+        own = [each for each in filled if each.row.role == role and each.how != "missing"]
+        cells = [dict.fromkeys(each.row.event for each in own if each.row.kind == kind) for kind in kinds]
+        lines.append(_line([role, *("; ".join(each) or "nothing" for each in cells)]))
+    return "## What has a figure\n\n" + "\n".join(lines) + "\n"
+
+
 def _roles(table: Table, filled: Sequence[Filled], places: Mapping[str, str]) -> Iterable[str]:
     """A section for each role, in the declared order."""
     for role, rows in itertools.groupby(filled, key=lambda each: each.row.role):
--- a/plumtrestle/capacity/rows.py
+++ b/plumtrestle/capacity/rows.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Literal
 
 import msgspec
 
@@ -17,6 +18,9 @@
 TABLE = Path(__file__).with_name("rows.toml")
 
 
+Kind = Literal["time", "messages", "processor time", "memory", "state"]
+
+
 class TableError(Exception):
     """rows.toml says what it can't; the text names the row."""
 
@@ -36,6 +40,7 @@
     role: str
     event: str
     what: str
+    kind: Kind
     figure: str
     file: str  # of the mechanism
     budget: str = ""  # by name; none was given where empty
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -38,7 +38,7 @@
 def table(
     figure: str = "cost", missing: str = "", feed: str = "member.cost | rest | mean | virtual"
 ) -> Table:
-    row = Row("member", "peace", "its cost", figure, "micadeck/members.py", "cost", missing=missing)
+    row = Row("member", "peace", "its cost", "time", figure, "micadeck/members.py", "cost", missing=missing)
     budget = {"cost": Budget(100.0, "B/s", "somebody")}
     return Table({"sidecars": 750.0, "calls_per_s": 7_500.0}, budget, {"cost": COST}, [row], [])
 
