--- a/plumtrestle/tier/slopes.py
+++ b/plumtrestle/tier/slopes.py
@@ -140,6 +140,7 @@
     "region-cut-60s": Case(_cut(60.0), _HEAL),
     "region-cut-120s": Case(_cut(120.0), _HEAL, seeds_at_most=(1, 2)),
     "region-cut-600s": Case(_cut(600.0), _HEAL, seeds_at_most=(1, 2)),
+    "region-cut-3600s": Case(_cut(3_600.0), _HEAL, sizes=(100, 200, 400, 750), seeds=(1,)),
     "start-at-once": Case(
         _started, "everybody at the same moment, knowing nobody; costs until all agree", is_known=False
     ),
@@ -156,7 +157,6 @@
         f"each upgraded once within {_RELEASE_S:g} s, two processes at once for a second; agreed: after it",
     ),
     "region-cut-600s-load": Case(_cut(600.0, is_loaded=True), _LOADED, seeds=(1, 2), seeds_at_most=(1,)),
-    "region-cut-3600s": Case(_cut(3_600.0), _HEAL, sizes=(100, 200, 400, 750), seeds=(1,)),
 }
 
 
