--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 
-.PHONY: setup test lint check native-check bench bench-ground fuzz explore membership scale path
+.PHONY: setup test lint check native-check bench bench-ground fuzz explore membership scale path slopes line capacity
 
 FUZZ_S ?= 60
 
@@ -71,3 +71,15 @@
 # What membership costs and how quickly it finds out: tables, and the plot of docs/membership.md.
 membership: setup
 	$(BIN)/python -m plumtrestle.tier.measure
+
+# What membership costs a member by the tier's size, in peace and in each event: data of docs/CAPACITY.md.
+slopes: setup
+	$(BIN)/python -m plumtrestle.tier.slopes $(CASES)
+
+# How soon all sidecars have an answer again after discovery was down, by their number: data of docs/CAPACITY.md.
+line: setup
+	$(BIN)/python -m plumtrestle.tier.line
+
+# docs/CAPACITY.md and its plots, from the runs in docs/capacity/ and plumtrestle/capacity/rows.toml.
+capacity: setup
+	$(BIN)/python -m plumtrestle.capacity
