Compare versions of the configuration among members, without I/O, in virtual time

Nothing can say which version of the configuration is in force where, and a signal that is lost is lost for good. micadeck/tier gets: a tally of one wave (a semilattice: the greater (version, wave) whole, equal ones united), datagrams of a format version of their own, and Rollout: a newer version is pushed to a few at once, the rest by anti-entropy; a member that hears of one asks for its file to be read again, in bounded steps. Nothing calls it yet.

--- /dev/null
+++ b/micadeck/tier/exchange.py
@@ -0,0 +1,110 @@
+"""Datagrams about versions of the configuration: MessagePack, read strictly, of their own format version.
+
+An exchange is [2, tier, sender, kind, version, wave, age, by, low, high, piece, has, behind].  The version of
+the program before drops it by its head as "another version" (`micadeck.tier.message`).
+"""
+
+from __future__ import annotations
+
+from enum import IntEnum, unique
+from typing import Annotated
+
+import msgspec
+
+from micadeck.tier.message import MOST_BYTES, MOST_MEMBERS, Member, Unfit
+from micadeck.tier.tally import NO_DIGEST, PIECE, Tally, unpacked
+
+FORMAT = 2
+LAST_VERSION = (1 << 63) - 1
+LAST_WAVE = 0xFFFF_FFFF
+MOST_AGE = 0xFFFF  # tenths of seconds
+_TENTH_US = 100_000
+_LAST_PIECE = (MOST_MEMBERS - 1) // PIECE
+_HEADER = 0x90  # of a MessagePack array of up to 15 entries, its length in the lower half
+
+
+@unique
+class Kind(IntEnum):
+    """Whether the sender wants to hear what it lacks."""
+
+    TELL = 0
+    ASK = 1
+
+
+Word = Annotated[int, msgspec.Meta(ge=0, le=0xFFFF_FFFF)]
+Bits = Annotated[bytes, msgspec.Meta(max_length=PIECE // 8)]
+
+
+class Exchange(msgspec.Struct, array_like=True, forbid_unknown_fields=True, gc=False):
+    """One datagram."""
+
+    format: Annotated[int, msgspec.Meta(ge=FORMAT, le=FORMAT)]
+    tier: Word
+    sender: Member
+    kind: Kind
+    version: Annotated[int, msgspec.Meta(ge=0, le=LAST_VERSION)]
+    wave: Annotated[int, msgspec.Meta(ge=1, le=LAST_WAVE)]
+    age: Annotated[int, msgspec.Meta(ge=0, le=MOST_AGE)]  # of the wave, in tenths of seconds
+    by: Member
+    low: Word
+    high: Word
+    piece: Annotated[int, msgspec.Meta(ge=0, le=_LAST_PIECE)]
+    has: Bits
+    behind: Bits
+
+    def tally(self, now: int) -> Tally:
+        """What it says, of the members of its piece."""
+        has, behind = unpacked(self.has, self.piece), unpacked(self.behind, self.piece)
+        began = now - self.age * _TENTH_US
+        return Tally(self.version, self.wave, self.by, began, self.low, self.high, has, behind)
+
+
+_DECODER = msgspec.msgpack.Decoder(Exchange)
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+def is_exchange(payload: bytes) -> bool:
+    """Whether a datagram begins as one of these do; the rest are membership's."""
+    return payload[1:2] == b"\x02" and payload[0] & 0xF0 == _HEADER
+
+
+def read(payload: bytes, tier: int, sender: int) -> Exchange:
+    """Read what came from `sender` (by its address); raise Unfit on anything that is not of this form."""
+    if len(payload) > MOST_BYTES:
+        raise Unfit("too long")
+    try:
+        given = _DECODER.decode(payload)
+    except (msgspec.DecodeError, ValueError, RecursionError):
+        raise Unfit("malformed") from None
+    if given.tier != tier:
+        raise Unfit("another tier")
+    if given.sender != sender:
+        raise Unfit("another's number")
+    if given.low > given.high and (given.low, given.high) != NO_DIGEST:
+        raise Unfit("malformed")
+    if given.has.endswith(b"\0") or given.behind.endswith(b"\0"):
+        raise Unfit("malformed")
+    return given
+
+
+def write(tier: int, sender: int, kind: Kind, tally: Tally, piece: int, now: int) -> bytes:
+    """One piece of a tally as a datagram."""
+    age = min(max((now - tally.began) // _TENTH_US, 0), MOST_AGE)
+    has, behind = tally.piece(piece)
+    return _ENCODER.encode(
+        Exchange(
+            FORMAT,
+            tier,
+            sender,
+            kind,
+            tally.version,
+            tally.wave,
+            age,
+            tally.by,
+            tally.low,
+            tally.high,
+            piece,
+            has,
+            behind,
+        )
+    )
--- a/plumtrestle/tier/virtual.py
+++ b/plumtrestle/tier/virtual.py
@@ -40,7 +40,7 @@
         self.is_alive = True
         self.late_us = 0  # each of its datagrams and ticks takes so much longer: starved of its processor
         self._tier = tier
-        self._paused = False
+        self.is_paused = False
         self._waiting: list[tuple[int, bytes]] = []  # what came while it was paused
         self._wake = _NEVER
         self.sent = self.sent_bytes = 0
@@ -56,7 +56,7 @@
         self.carry_out(self.membership.start(tier.queue.now))
 
     def hear(self, sender: int, payload: bytes) -> None:
-        if self._paused:
+        if self.is_paused:
             self._waiting.append((sender, payload))
         elif self.is_alive:
             self.carry_out(self.membership.heard(self._tier.queue.now, sender, payload))
@@ -74,7 +74,7 @@
                     self._tier.told.append((now, self.number, action))
 
     def _tick(self, at: int) -> None:
-        if self.is_alive and not self._paused and at == self._wake:
+        if self.is_alive and not self.is_paused and at == self._wake:
             self.carry_out(self.membership.tick(self._tier.queue.now))
 
     def kill(self) -> None:
@@ -85,11 +85,11 @@
         self.is_alive = False
 
     def pause(self) -> None:
-        self._paused = True
+        self.is_paused = True
 
     def resume(self) -> None:
         """Go on: what came meanwhile first, as sockets are read before timers are looked at."""
-        self._paused = False
+        self.is_paused = False
         waiting, self._waiting = self._waiting, []
         for sender, payload in waiting:
             self.hear(sender, payload)
--- /dev/null
+++ b/tests/test_rollout.py
@@ -0,0 +1,389 @@
+"""Versions of the configuration in virtual time: each hard case by name, on the sidecar's own lines."""
+
+from __future__ import annotations
+
+import random
+import time
+
+import pytest
+
+from micadeck.tier.answer import MOST_NAMED, Ambiguous, Forgotten, Look, Missing, Settled
+from micadeck.tier.exchange import LAST_VERSION, LAST_WAVE, Kind, write
+from micadeck.tier.message import tier_number
+from micadeck.tier.rollout import Rollout
+from micadeck.tier.settings import RolloutSettings
+from micadeck.tier.table import Table
+from micadeck.tier.tally import Tally, bit
+from micadeck.tier.view import Datagram
+from plumtrestle.tier.versions import File, Versioned, VersionedTier
+
+IN_FORCE_S = 6.0  # the bound with its margin of two
+S = 1_000_000
+
+
+def at_rest(size: int, **how: object) -> VersionedTier:
+    """A tier in which version 1 is in force everywhere, and everybody knows it."""
+    tier = VersionedTier(size, **how)  # type: ignore[arg-type]
+    assert tier.until_known(60.0) is not None
+    tier.run(20.0)
+    tier.said.clear()
+    return tier
+
+
+def said(tier: VersionedTier, what: type, version: int) -> list[int]:
+    """Who said so of a version."""
+    return [
+        by
+        for _, by, each in tier.said
+        if isinstance(each, what)
+        and (each.answer.version if isinstance(each, Settled) else each.version) == version
+    ]
+
+
+# One told, all follow
+
+
+def test_one_is_told_and_all_have_it_and_know_that_all_have_it() -> None:
+    tier = at_rest(30)
+    tier.publish(2, first=4)
+    assert tier.until_in_force(2, IN_FORCE_S) is not None
+    assert tier.until_known(IN_FORCE_S) is not None
+    tier.run(1.0)
+    assert sorted(said(tier, Settled, 2)) == list(range(30))  # one line each
+    found = tier.answer(7)
+    assert (found.version, found.count, found.asked) == (2, 30, 30)
+    assert found.behind == found.unheard == ()
+
+
+def test_in_force_everywhere_is_answered_by_members_and_not_by_who_was_asked() -> None:
+    tier = at_rest(10)
+    tier.publish(2, first=0, members=range(9))  # the file of member 9 never came
+    tier.run(30.0)
+    for number in range(10):
+        assert tier.answer(number).everywhere is False
+        assert tier.answer(number).behind == (9,)
+    assert tier.versioned(9).rollout.version == 1
+
+
+def test_a_file_that_comes_later_is_found_without_a_signal() -> None:
+    tier = at_rest(10)
+    tier.publish(2, first=0, members=range(9))
+    tier.run(20.0)
+    tier.files[9] = File.of(2)
+    assert tier.until_in_force(2, 4.0 * 1.2 + 0.1) is not None
+    assert tier.until_known(60.0) is not None
+
+
+def test_a_file_that_never_comes_is_looked_for_in_bounded_steps_and_said_once() -> None:
+    tier = at_rest(5)
+    tier.publish(2, first=0, members=range(4))
+    tier.run(60.0)
+    first = tier.versioned(4).looks
+    assert 15 <= first <= 30
+    tier.run(600.0)
+    assert tier.versioned(4).looks - first <= 15
+    assert said(tier, Missing, 2) == [4]
+    assert sorted(said(tier, Settled, 2)) == list(range(5))  # each says once who is behind
+    tier.files[4] = File.of(2)
+    assert tier.until_in_force(2, 60.0 * 1.2 + 0.1) is not None
+
+
+def test_versions_may_be_skipped_and_come_quickly_after_each_other() -> None:
+    tier = at_rest(12)
+    for version in (2, 3, 7, 8):
+        tier.publish(version, first=version % 12)
+        tier.run(0.02)
+    assert tier.until_in_force(8, IN_FORCE_S) is not None
+    assert tier.until_known(IN_FORCE_S) is not None
+
+
+def test_two_different_versions_at_once_end_in_the_greater() -> None:
+    tier = at_rest(12)
+    for number in range(6):
+        tier.files[number] = File.of(2)
+    for number in range(6, 12):
+        tier.files[number] = File.of(3)
+    tier.versioned(0).read()
+    tier.versioned(6).read()
+    tier.run(10.0)
+    assert {tier.versioned(number).rollout.version for number in range(6)} == {2}
+    assert tier.answer(0).behind == tuple(range(6))
+    for number in range(6):
+        tier.files[number] = File.of(3)
+    assert tier.until_in_force(3, 6.0) is not None
+
+
+# Networks
+
+
+@pytest.mark.parametrize(
+    ("loss", "double", "late"),
+    [(0.3, 0.0, 0.0), (0.0, 1.0, 0.0), (0.0, 0.0, 0.5), (0.3, 0.3, 0.3)],
+    ids=["lost", "doubled", "late and out of order", "all of it"],
+)
+def test_in_force_and_known_with_datagrams(loss: float, double: float, late: float) -> None:
+    tier = at_rest(20)
+    tier.loss, tier.double, tier.late = loss, double, late
+    tier.publish(2, first=3)
+    assert tier.until_in_force(2, IN_FORCE_S) is not None
+    assert tier.until_known(60.0) is not None
+    tier.run(200.0)
+    assert all(tier.answer(number).everywhere for number in range(20))
+
+
+def test_a_datagram_held_for_two_minutes_changes_nothing() -> None:
+    tier = at_rest(6)
+    until = tier.queue.now + 120 * S
+    tier.held_until = lambda source, target: until if source == 5 else 0
+    tier.run(5.0)
+    tier.held_until = lambda source, target: 0
+    tier.publish(2, first=0)
+    assert tier.until_in_force(2, IN_FORCE_S) is not None
+    tier.run(130.0)
+    assert all(tier.answer(number).everywhere for number in range(6))
+    assert all(each.rollout.version == 2 for each in tier.everyone)
+
+
+def test_two_halves_that_differ_for_an_hour_and_heal() -> None:
+    tier = at_rest(6)
+    tier.is_cut = lambda source, target: (source < 3) != (target < 3)
+    tier.publish(2, first=0, members=range(3))
+    for number in range(3, 6):
+        tier.files[number] = File.of(3)
+    tier.versioned(5).read()
+    tier.run(3_600.0)
+    for number in range(6):
+        found = tier.answer(number)
+        assert found.version == tier.versioned(number).rollout.version == (2 if number < 3 else 3)
+        assert found.everywhere is None  # whose word is lacking is said
+        assert found.unheard == ((3, 4, 5) if number < 3 else (0, 1, 2))
+        assert found.age_us <= 2 * tier.versioned(number).rollout.wave_us  # half of the tier, and fresh
+    tier.is_cut = lambda source, target: False
+    for number in range(3):
+        tier.files[number] = File.of(3)
+    assert tier.until_known(90.0) is not None
+    assert tier.in_force(3)
+
+
+def test_alone_it_serves_on_and_says_whose_word_is_lacking() -> None:
+    tier = at_rest(5)
+    tier.is_cut = lambda source, target: 2 in (source, target)
+    tier.run(300.0)
+    found = tier.answer(2)
+    assert found.everywhere is None and found.unheard == (0, 1, 3, 4)
+    assert tier.versioned(2).rollout.version == 1
+    assert tier.answer(0).everywhere  # the others found it dead and go on without it
+    assert (tier.answer(0).count, tier.answer(0).asked) == (4, 4)
+
+
+# Members
+
+
+def test_a_paused_copy_is_unheard_or_left_out_and_follows_when_it_goes_on() -> None:
+    tier = at_rest(8)
+    tier.versioned(6).pause()
+    tier.publish(2, first=0)
+    tier.run(5.0)
+    assert tier.answer(0).everywhere is None and tier.answer(0).unheard == (6,)
+    tier.run(60.0)
+    assert tier.answer(0).everywhere  # it was found dead
+    tier.versioned(6).resume()
+    assert tier.until_in_force(2, IN_FORCE_S) is not None
+    assert tier.until_known(90.0) is not None
+
+
+def test_a_copy_back_with_an_older_file_is_behind_at_once_and_follows_when_its_file_does() -> None:
+    tier = at_rest(8)
+    tier.publish(2, first=0)
+    assert tier.until_known(30.0) is not None
+    tier.run(100.0)
+    tier.kill(3)
+    tier.files[3] = File.of(1)
+    tier.start(3)
+    tier.run(5.0)
+    for number in range(8):
+        assert tier.answer(number).everywhere is False and tier.answer(number).behind == (3,)
+    tier.files[3] = File.of(2)
+    assert tier.until_in_force(2, 6.0) is not None
+    assert tier.until_known(60.0) is not None
+
+
+def test_a_member_that_falls_silent_falls_out_of_the_tally_within_two_waves() -> None:
+    tier = at_rest(8)
+    tier.versioned(3).rollout = Rollout(
+        3, "elsewhere", Table(8, 0), RolloutSettings(), random.Random(1), 0, 1, 0
+    )  # its process lives and says nothing that the others take
+    tier.run(2 * tier.versioned(0).rollout.wave_us / 1e6)
+    assert tier.answer(0).everywhere is None and tier.answer(0).unheard == (3,)
+
+
+def test_seven_hundred_and_fifty_started_at_once_know_it_and_follow() -> None:
+    tier = VersionedTier(750, is_membership_on=False)
+    assert tier.until_known(IN_FORCE_S) is not None
+    tier.publish(2, first=749)
+    assert tier.until_in_force(2, IN_FORCE_S) is not None
+    assert max(each.exchanges for each in tier.everyone) <= 64 + 10 * tier.queue.now / 1e6
+    assert max(each.exchange_bytes / each.exchanges for each in tier.everyone) <= 256
+
+
+def test_a_rolling_upgrade_with_members_of_the_version_before_that_never_answer() -> None:
+    tier = VersionedTier(8, before=frozenset({0, 1, 2, 3}))
+    tier.publish(2, first=7)
+    tier.run(60.0)
+    found = tier.answer(7)
+    assert found.everywhere is None and found.unheard == (0, 1, 2, 3) and found.count == 4
+    old = tier.of(0)
+    assert old.dropped["another version"] > 0 and set(old.dropped) == {"another version"}
+    assert tier.is_agreed()  # membership goes on as it did
+    tier.before = frozenset()
+    for number in range(4):
+        tier.upgrade(number)
+    assert tier.until_known(60.0) is not None
+
+
+def test_more_members_than_one_datagram_holds() -> None:
+    tier = VersionedTier(801, is_membership_on=False)
+    assert tier.until_known(30.0) is not None
+    tier.publish(2, first=800)
+    assert tier.until_in_force(2, IN_FORCE_S) is not None
+    tier.run(5.0)
+    assert tier.answer(0).everywhere and tier.answer(800).count == 801
+
+
+def test_a_tier_of_one_answers_for_itself() -> None:
+    tier = VersionedTier(1)
+    tier.publish(2, first=0)
+    tier.run(100.0)
+    assert tier.answer(0).everywhere and not tier.versioned(0).exchanges
+
+
+# Files
+
+
+def test_a_lower_version_is_refused_and_what_is_in_force_stays() -> None:
+    tier = at_rest(4)
+    tier.publish(5, first=0)
+    assert tier.until_known(30.0) is not None
+    tier.files[2] = File.of(4)
+    assert not tier.versioned(2).read()
+    tier.run(5.0)
+    assert tier.versioned(2).rollout.version == 5 and tier.answer(0).everywhere
+    rollout = tier.versioned(2).rollout
+    assert rollout.in_force(tier.queue.now, 4, 0) == [] and rollout.version == 5
+
+
+def test_one_version_with_two_contents_is_named_by_all() -> None:
+    tier = at_rest(8)
+    tier.publish(2, first=0)
+    assert tier.until_known(30.0) is not None
+    assert not said(tier, Ambiguous, 2)
+    tier.files[5] = File(2, 99)
+    assert tier.versioned(5).read()
+    tier.run(30.0)
+    assert sorted(said(tier, Ambiguous, 2)) == list(range(8))
+    assert (tier.answer(1).low, tier.answer(1).high) == (99, File.of(2).digest)
+    tier.files[5] = File.of(2)
+    assert tier.versioned(5).read()
+    tier.run(120.0)  # by the next wave it is over
+    assert not tier.answer(1).is_ambiguous
+
+
+def lie(tier: VersionedTier, sender: int, version: int, wave: int = 1, has: int = 0) -> None:
+    tally = Tally(version, wave, sender, tier.queue.now, 1, 1, has or bit(sender))
+    payload = write(tier_number(tier.name), sender, Kind.TELL, tally, 0, tier.queue.now)
+    for each in tier.everyone:
+        if each.number != sender:
+            each.hear(sender, payload)
+
+
+def test_a_lie_of_a_huge_version_costs_a_bounded_number_of_looks_and_is_forgotten() -> None:
+    tier = at_rest(10)
+    sent = [each.exchanges for each in tier.everyone]
+    for _ in range(30):
+        lie(tier, 9, LAST_VERSION)
+        tier.run(1.0)
+    found = tier.answer(0)
+    assert found.version == LAST_VERSION and found.everywhere is False
+    assert tier.versioned(0).rollout.tally.by == 9
+    assert all(each.rollout.version == 1 for each in tier.everyone)
+    assert max(each.looks for each in tier.everyone) <= 20
+    assert max(each.exchanges - old for each, old in zip(tier.everyone, sent, strict=True)) <= 64 + 300
+    tier.run(200.0)
+    assert set(said(tier, Forgotten, LAST_VERSION)) == set(range(10))
+    assert all(tier.answer(number).everywhere for number in range(10))
+    tier.publish(2, first=0)
+    assert tier.until_in_force(2, IN_FORCE_S) is not None
+
+
+def test_a_liar_that_names_ever_higher_versions_gets_a_bounded_number_of_answers() -> None:
+    tier = at_rest(10)
+    began = [(each.exchanges, each.looks) for each in tier.everyone]
+    for count in range(2_000):
+        lie(tier, 9, 1_000 + count)
+        tier.run(0.01)
+    for each, (exchanges, looks) in zip(tier.everyone, began, strict=True):
+        assert each.exchanges - exchanges <= 64 + 10 * 20 + 16
+        assert each.looks - looks <= 4 * 20 + 1
+
+
+def test_a_lie_of_the_last_wave_is_over_after_some_waves() -> None:
+    tier = at_rest(6)
+    lie(tier, 5, 1, wave=LAST_WAVE, has=bit(0) | bit(1))
+    tier.run(4 * tier.versioned(0).rollout.wave_us / 1e6 + 30.0)
+    assert tier.versioned(0).rollout.tally.wave < LAST_WAVE
+    assert all(tier.answer(number).everywhere for number in range(6))
+
+
+def test_an_old_tally_is_not_taken() -> None:
+    tier = at_rest(3)
+    rollout = tier.versioned(0).rollout
+    now = tier.queue.now
+    old = Tally(9, 1, 2, now - 3 * rollout.wave_us - S, 1, 1, bit(2))
+    rollout.heard(now, 2, write(tier_number(tier.name), 2, Kind.ASK, old, 0, now))
+    assert rollout.tally.version == 1 and rollout.dropped["too old"] == 1
+
+
+def test_names_in_an_answer_are_bounded_and_the_rest_is_counted() -> None:
+    tier = VersionedTier(60, is_membership_on=False)
+    tier.publish(2, first=0, members=range(1))
+    tier.run(5.0)
+    found = tier.answer(0)
+    assert len(found.behind) == MOST_NAMED and found.behind_count == 59
+
+
+# Costs
+
+
+def test_at_rest_datagrams_do_not_grow_with_the_tier() -> None:
+    rates = {}
+    for size in (10, 40, 160):
+        tier = at_rest(size, is_membership_on=False)
+        sent = sum(each.exchanges for each in tier.everyone)
+        tier.run(300.0)
+        rates[size] = (sum(each.exchanges for each in tier.everyone) - sent) / size / 300
+    assert max(rates.values()) <= 1.0
+    assert rates[160] <= 1.5 * rates[10]
+
+
+def test_the_wake_goes_before_the_look_and_both_come_of_one_event() -> None:
+    tier = at_rest(3)
+    rollout = tier.versioned(0).rollout
+    now = tier.queue.now
+    news = Tally(9, 1, 2, now, 1, 1, bit(2))
+    out = rollout.heard(now, 2, write(tier_number(tier.name), 2, Kind.TELL, news, 0, now))
+    assert isinstance(out[-1], Look)
+    assert {each.receiver for each in out if isinstance(each, Datagram)} <= {1}
+
+
+@pytest.fixture(autouse=True)
+def no_clock(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Nothing here may look at the machine's clock."""
+
+    def forbidden() -> float:
+        raise AssertionError("the clock was read")
+
+    monkeypatch.setattr(time, "time", forbidden)
+
+
+def test_every_member_is_one_that_compares_versions() -> None:
+    assert all(isinstance(each, Versioned) for each in VersionedTier(3).everyone)
