Compare the configuration's version in the sidecar: key `version`, one signal, all follow

A member that hears of a newer version than its own reads its file as at SIGHUP does, in bounded steps; a file with an older version is refused; /api/telemetry says under `configuration` whether the newest version is in force everywhere, by members' own word, and who is behind or unheard. Without `version` nothing of it is loaded, sent or refused (a test says so). The way from file to sidecar moves from __main__ to reload.py.

Four real copies with a fifth of all datagrams lost, doubled and out of order: file changed, one signalled, all follow; one back with the older file is named by all, then follows without a signal (tests/test_versions.py).

--- a/micadeck/__main__.py
+++ b/micadeck/__main__.py
@@ -16,6 +16,7 @@
 
 from micadeck.config import Config, ConfigError, load
 from micadeck.listener import inherited
+from micadeck.reload import Reload
 from micadeck.sidecar import Sidecar
 
 _LINES_PER_S = 20.0
@@ -44,19 +45,6 @@
         print(text, file=sys.stderr, flush=True)
 
 
-def reread(sidecar: Sidecar, log: LineLog) -> None:
-    """Take over what may change while running; a bad file changes nothing."""
-    try:
-        config = load(os.environ)
-    except ConfigError as fault:
-        log(f"kept the configuration: {fault}".replace("\n", " "))
-        return
-    kept = sidecar.reconfigure(config)
-    if kept:
-        log(f"left as it was until a restart: {', '.join(kept)}")
-    log(f"re-read the configuration: discovery is at {config.discovery[0]}:{config.discovery[1]}")
-
-
 def listening(config: Config) -> socket.socket | None:
     """The clients' listening socket, where the platform holds it; raise ConfigError if it is none."""
     if config.socket_fd is None:
@@ -78,7 +66,9 @@
         lambda _, what: log(f"internal error: {what['message']}: {what.get('exception')!r}")
     )
     sidecar = Sidecar(config, log, held)
-    loop.add_signal_handler(signal.SIGHUP, reread, sidecar, log)
+    reload = Reload(sidecar, log, os.environ)
+    sidecar.on_newer = reload.look
+    loop.add_signal_handler(signal.SIGHUP, reload.hang_up)
     await sidecar.start()
     if sidecar.console is not None and config.console is not None:
         log(f"the operators' door is at {config.console[0]}:{sidecar.console.port}")
--- a/micadeck/config.py
+++ b/micadeck/config.py
@@ -7,15 +7,17 @@
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
+from zlib import crc32
 
 from magpiemux import Settings
 from magpiemux.adapter import settings_from_wire
 from micadeck.catalog import Listing, parse_listing
 from micadeck.client import Address, parse_address
-from micadeck.tier.settings import MembershipSettings
+from micadeck.tier.settings import MembershipSettings, RolloutSettings
 
 _DEFAULT_SOCKETS = 1_024
 _DEFAULT_MEMORY_MB = 64
+_LAST_VERSION = (1 << 63) - 1
 
 
 class ConfigError(Exception):
@@ -39,19 +41,32 @@
     peers_all: Address | None
     tier: str  # by its name: datagrams of another are not taken
     membership: MembershipSettings
+    version: int | None  # of this configuration; None: versions are not compared
+    digest: int  # of what all files of this version have alike
+    rollout: RolloutSettings
     console: Address | None  # None: there is no door for operators
     socket_fd: int | None  # where the platform holds the clients' listening socket
     folder: Path | None  # for what has to outlive a process
 
 
-def load(environ: Mapping[str, str]) -> Config:
-    """Read the file that `BALANCER_CONFIG` names; raise ConfigError on nonsense."""
+def contents(environ: Mapping[str, str]) -> bytes:
+    """What is in the file that `BALANCER_CONFIG` names; raise ConfigError if it can't be read."""
     path = environ.get("BALANCER_CONFIG")
     if not path:
         raise ConfigError("BALANCER_CONFIG: the path of the configuration is needed")
     try:
-        given = json.loads(Path(path).read_bytes())
-    except (OSError, ValueError, RecursionError) as fault:
+        return Path(path).read_bytes()
+    except OSError as fault:
+        raise ConfigError(f"BALANCER_CONFIG: {path} can't be read: {fault}") from None
+
+
+def load(environ: Mapping[str, str], held: bytes | None = None) -> Config:
+    """Read the file that `BALANCER_CONFIG` names, or what it `held`; raise ConfigError on nonsense."""
+    data = contents(environ) if held is None else held
+    try:
+        given = json.loads(data)
+    except (ValueError, RecursionError) as fault:
+        path = environ.get("BALANCER_CONFIG")
         raise ConfigError(f"BALANCER_CONFIG: {path} can't be read: {fault}") from None
     if not isinstance(given, dict):
         raise ConfigError("BALANCER_CONFIG: the file must hold an object")
@@ -81,6 +96,7 @@
     peers = given.get("peers") or []
     if not isinstance(peers, list):
         raise ConfigError("peers: a list of addresses is needed")
+    version, rollout = _version(given.get("version")), _rollout(given.get("rollout"))
     return Config(
         name=_text(given, "name"),
         listen=_address("listen", given.get("listen")),
@@ -95,6 +111,9 @@
         peers_all=_optional_address("peers_all", given.get("peers_all")),
         tier=str(given["settings"].get("tier", 0)),
         membership=_membership(given.get("membership")),
+        version=version,
+        digest=0 if version is None else _digest(given, rollout.digest_of),
+        rollout=rollout,
         console=_optional_address("console", given.get("console")),
         socket_fd=_descriptor((environ or {}).get("BALANCER_SOCKET_FD")),
         folder=Path(environ["TMPDIR"]) if environ and environ.get("TMPDIR") else None,
@@ -108,6 +127,24 @@
         raise ConfigError(f"membership.{nonsense}") from None
 
 
+def _rollout(given: object) -> RolloutSettings:
+    try:
+        return RolloutSettings.from_mapping(given)
+    except ValueError as nonsense:
+        raise ConfigError(f"rollout.{nonsense}") from None
+
+
+def _version(value: object) -> int | None:
+    if value is not None and (type(value) is not int or not 0 <= value <= _LAST_VERSION):
+        raise ConfigError(f"version: a whole number from 0 to {_LAST_VERSION} is needed, not {value!r:.60}")
+    return value
+
+
+def _digest(given: Mapping[str, Any], keys: tuple[str, ...]) -> int:
+    """Four bytes that differ where files of one version differ by mistake; no proof against intent."""
+    return crc32(json.dumps([given.get(key) for key in keys], sort_keys=True).encode())
+
+
 def _text(given: Mapping[str, Any], key: str) -> str:
     value = given.get(key)
     if not isinstance(value, str) or not value:
--- /dev/null
+++ b/micadeck/rollout.py
@@ -0,0 +1,192 @@
+"""The configuration's version, for this process: datagrams, timer, log lines and figures.
+
+What is known of the others is `micadeck.tier.rollout`'s; taking a file over stays what SIGHUP does.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from micadeck.clock import Clock
+from micadeck.config import Config
+from micadeck.peers import Peers
+from micadeck.tier.answer import Ambiguous, Answer, Forgotten, Look, Missing, Settled, Step
+from micadeck.tier.exchange import is_exchange
+from micadeck.tier.membership import Membership
+from micadeck.tier.rollout import Rollout
+from micadeck.tier.table import Table
+from micadeck.tier.view import Datagram, Wake
+
+_LINES_PER_S = 0.1  # whatever others say, the log is filled no faster; ...
+_LINES_AT_ONCE = 20.0  # ... after so many at once
+_AGAIN_US = 1_000_000  # after a defect, the next tick
+
+
+class Versions:
+    """Compares versions while the configuration has one and the others are kept track of."""
+
+    def __init__(
+        self,
+        me: int,
+        tier: str,
+        seed: int,
+        clock: Clock,
+        peers: Peers,
+        log: Callable[[str], None],
+        look: Callable[[], None],
+    ) -> None:
+        """`look` reads the file again, and brings back what it holds through `configure`."""
+        self._rollout: Rollout | None = None
+        self._table: Table | None = None  # membership's, that the rollout goes by
+        self._refused = 0  # files with a lower version, since the start
+        self._me, self._tier = me, tier
+        self._random = random.Random(f"rollout {seed}")
+        self._clock, self._peers, self._log, self._look = clock, peers, log, look
+        self._timer: asyncio.TimerHandle | None = None
+        self._lines, self._lines_at = _LINES_AT_ONCE, clock.now()
+
+    @property
+    def version(self) -> int | None:
+        """What is in force; None while versions are not compared."""
+        return None if self._rollout is None else self._rollout.version
+
+    def refusal(self, config: Config) -> str | None:
+        """Why a file may not be taken over; one in which this is switched off always may."""
+        if self._rollout is None or config.version is None or not config.rollout.on:
+            return None
+        if self._rollout.permits(config.version):
+            return None
+        self._refused += 1
+        return f"version: {config.version} is older than {self._rollout.version}, which is in force"
+
+    def configure(self, membership: Membership | None, config: Config) -> None:
+        """This configuration is in force from now on."""
+        now, version, settings = self._clock.now(), config.version, config.rollout
+        if membership is None or version is None or not settings.on:
+            self.close()
+        elif self._rollout is None or self._table is not membership.table:
+            own = random.Random(self._random.getrandbits(64))
+            self._table = membership.table
+            self._rollout = Rollout(
+                self._me, self._tier, self._table, settings, own, now, version, config.digest
+            )
+            self._carry_out(self._rollout.start(now))
+        else:
+            self._carry_out(self._rollout.configure(now, settings))
+            self._carry_out(self._rollout.in_force(now, version, config.digest))
+
+    def heard(self, sender: int, payload: bytes) -> bool:
+        """Take a datagram from a member; no if it is none about versions, or these are not compared."""
+        if self._rollout is None or not is_exchange(payload):
+            return False
+        self._play(lambda rollout, now: rollout.heard(now, sender, payload))
+        return True
+
+    def close(self) -> None:
+        """Compare no more, and hold no timer."""
+        self._rollout = self._table = None
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def figures(self) -> dict[str, object] | None:
+        """What operators see of it; None while it is off."""
+        rollout = self._rollout
+        if rollout is None:
+            return None
+        now = self._clock.now()
+        answer = rollout.answer(now)
+        return {
+            "version": rollout.version,
+            "digest": f"{rollout.digest:08x}",
+            "newest_heard": answer.version,
+            "newest_heard_from": rollout.heard_from,
+            "newest_first_said_by": rollout.tally.by,
+            "newest_heard_s_ago": round((now - rollout.heard_at) / 1e6, 1),
+            "in_force_everywhere": answer.everywhere,
+            "in_force": answer.count,
+            "asked": answer.asked,
+            "behind": list(answer.behind),
+            "behind_count": answer.behind_count,
+            "unheard": list(answer.unheard),
+            "unheard_count": answer.unheard_count,
+            "ambiguous": answer.is_ambiguous,
+            "digests": [f"{each:08x}" for each in sorted({answer.low, answer.high})],
+            "wave": answer.wave,
+            "age_s": round(answer.age_us / 1e6, 1),
+            "refused": self._refused,
+            "dropped": dict(rollout.dropped),
+        }
+
+    def _tick(self) -> None:
+        self._timer = None
+        self._play(Rollout.tick)
+
+    def _play(self, event: Callable[[Rollout, int], list[Step]]) -> None:
+        """Bring an event to the rollout; live on after a defect in it."""
+        rollout, now = self._rollout, self._clock.now()
+        if rollout is None:
+            return
+        try:
+            self._carry_out(event(rollout, now))
+        except Exception as fault:
+            self._log(f"internal error: {fault!r} (versions)")
+            if self._timer is None:
+                self._wake_at(now + _AGAIN_US)
+
+    def _carry_out(self, steps: list[Step]) -> None:
+        for each in steps:
+            match each:
+                case Datagram():
+                    self._peers.tell(each.receiver, each.payload)
+                case Wake():
+                    self._wake_at(each.at)
+                case Look():
+                    self._look()
+                case Settled() | Ambiguous() | Missing() | Forgotten():
+                    self._say(each)
+
+    def _wake_at(self, at: int) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        wait_s = max((at - self._clock.now()) / 1e6, 0.001)  # a timer that is due at once must not spin
+        self._timer = asyncio.get_running_loop().call_later(wait_s, self._tick)
+
+    def _say(self, what: Settled | Ambiguous | Missing | Forgotten) -> None:
+        now = self._clock.now()
+        passed_s, self._lines_at = (now - self._lines_at) / 1e6, now
+        self._lines = min(self._lines + passed_s * _LINES_PER_S, _LINES_AT_ONCE)
+        if self._lines >= 1.0:
+            self._lines -= 1.0
+            self._log(_worded(what))
+
+
+def _worded(what: Settled | Ambiguous | Missing | Forgotten) -> str:
+    match what:
+        case Settled(after_us, answer):
+            return _settled(after_us / 1e6, answer)
+        case Ambiguous(version, low, high):
+            return f"configuration: two contents go by version {version}: digests {low:08x} and {high:08x}"
+        case Missing(version, by, after_us):
+            told = f"configuration: version {version}, first said by {by}, is not in the file of this sidecar"
+            return f"{told} after {after_us / 1e6:.0f} s: it looks once a minute from now on"
+        case Forgotten(version, by):
+            return f"configuration: version {version}, first said by {by}, is in force nowhere any more"
+
+
+def _settled(after_s: float, answer: Answer) -> str:
+    version, counted = f"configuration: version {answer.version}", f"{answer.count} of {answer.asked}"
+    if answer.everywhere:
+        return f"{version} in force here; everywhere after {after_s:.1f} s ({counted})"
+    behind = _named("behind", answer.behind, answer.behind_count)
+    unheard = _named("unheard", answer.unheard, answer.unheard_count)
+    return f"{version} not known to be everywhere after {after_s:.1f} s ({counted}){behind}{unheard}"
+
+
+def _named(what: str, members: tuple[int, ...], count: int) -> str:
+    if not count:
+        return ""
+    more = f" and {count - len(members)} more" if count > len(members) else ""
+    return f"; {what}: {', '.join(map(str, members))}{more}"
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -48,7 +48,7 @@
 from micadeck.catalog import Listing
 from micadeck.client import ClientConnection, Message, Response
 from micadeck.clock import Clock
-from micadeck.config import Config
+from micadeck.config import Config, ConfigError
 from micadeck.console import MOST_CALLERS, Console
 from micadeck.frontend import ClientSide, Frontend
 from micadeck.handover import Handover
@@ -63,6 +63,7 @@
 
 if TYPE_CHECKING:
     from micadeck.members import Members
+    from micadeck.rollout import Versions
     from micadeck.tier.settings import MembershipSettings
     from micadeck.tier.view import Size
 
@@ -151,6 +152,9 @@
         )
         self._told_size: TierSized | None = None
         self._members: Members | None = None  # None: the others are not kept track of
+        self._versions: Versions | None = None  # None: versions of the configuration are not compared
+        # Called when another has a newer version: the file has to be read again, as at SIGHUP.
+        self.on_newer: Callable[[], None] = lambda: None
 
     def _shares(self) -> tuple[int, int]:
         """How many connections this process may have to clients and to servers.
@@ -177,6 +181,7 @@
         if self._settings.limits.may_message and self._config.peer_listen is not None:
             await self._peers.listen(self._config.peer_listen, shared=self._held is not None)
             self._keep_track(self._config.membership)
+            self._compare_versions(self._config)
         if self.console is not None and self._config.console is not None:
             await self.console.listen(self._config.console)
         self._upstream.listed(self._config.known)
@@ -194,12 +199,18 @@
     def reconfigure(self, config: Config) -> list[str]:
         """Take over what may change while running: where discovery and the others are, and membership.
 
-        All else stays wholly as it was; give the keys of which the file says something else.
+        All else stays wholly as it was; give the keys of which the file says something else.  Raise
+        ConfigError, and change nothing, where its version is older than that in force.
         """
+        if self._versions is not None:
+            refusal = self._versions.refusal(config)
+            if refusal is not None:
+                raise ConfigError(refusal)
         self._discovery.move(config.discovery)
         self._peers.move(config.peers, config.peers_all)
         if self._peers.is_listening and self._stop_by is None:
             self._keep_track(config.membership)
+            self._compare_versions(config)
         return [key for key in _FIXED if getattr(config, key) != getattr(self._config, key)]
 
     def _tier_sized(self, size: Size) -> None:
@@ -221,6 +232,25 @@
             self._members = Members(me, own.tier, own.seed, self._clock, self._peers, log, self._tier_sized)
         self._members.configure(membership)
 
+    def _compare_versions(self, config: Config) -> None:
+        """Compare the configuration's version with the others', where it has one and they are known."""
+        membership = None if self._members is None else self._members.membership
+        if self._versions is None:
+            if config.version is None or not config.rollout.on or membership is None:
+                return
+            # Not at the top: a sidecar without it need not have what it needs.
+            from micadeck.rollout import Versions
+
+            me, own = self._settings.me, self._config
+            parts = (self._clock, self._peers, self._log, lambda: self.on_newer())
+            self._versions = Versions(me, own.tier, own.seed, *parts)
+        self._versions.configure(membership, config)
+
+    @property
+    def version(self) -> int | None:
+        """The configuration's version that is in force; None where versions are not compared."""
+        return None if self._versions is None else self._versions.version
+
     @property
     def open_requests(self) -> int:
         """Requests that are not over: unanswered, or with an attempt still out."""
@@ -236,6 +266,8 @@
         self.frontend.drain()
         # Looked at anew: a successor may be younger than the last look.
         has_successor = self._presence is not None and not self._presence.is_alone()
+        if self._versions is not None:
+            self._versions.close()
         if self._members is not None:
             self._members.leave(has_successor)
         if has_successor:
@@ -277,6 +309,8 @@
         if self._presence is not None:
             self._presence.close()
         self._discovery.close()
+        if self._versions is not None:
+            self._versions.close()
         if self._members is not None:
             self._members.close()
         self._peers.close()
@@ -295,7 +329,12 @@
         arriving = sum(upload is not None and not upload.is_whole for upload in uploads)
         figures = self._telemetry.figures(self._owed - arriving, members, unavailable)
         membership = self._members.figures() if self._members is not None else None
-        return figures if membership is None else {**figures, "membership": membership}
+        if membership is not None:
+            figures["membership"] = membership
+        versions = self._versions.figures() if self._versions is not None else None
+        if versions is not None:
+            figures["configuration"] = versions
+        return figures
 
     def exclude(self, member: str) -> bool:
         """Send nothing more to a server; no if it was never listed."""
@@ -374,10 +413,10 @@
             self._answer(event.request, 500, [])
 
     def _message_received(self, sender: int, payload: bytes) -> None:
-        """A datagram from another sidecar: membership's while that is on, else the decisions'."""
+        """A datagram from another sidecar: the tier's while that is on, else the decisions'."""
         if self._members is None or self._members.membership is None:
             self._post(MessageReceived(sender, payload))
-        else:
+        elif self._versions is None or not self._versions.heard(sender, payload):
             self._members.heard(sender, payload)
 
     def _listed(self, listing: Listing) -> None:
--- a/micadeck/tier/rollout.py
+++ b/micadeck/tier/rollout.py
@@ -205,7 +205,8 @@
         if tally.version != self.version:
             self._has_missed = False
             self._look_wait = _LOOK_US
-            self._look_at = max(now, self._looked_at + _LOOK_US)
+            spread = int(self._settings.spread_s * 1e6 * self._random.random())
+            self._look_at = max(now + spread, self._looked_at + _LOOK_US)
 
     def _take(self, now: int, tally: Tally) -> None:
         """Hold this tally; if it says anything new, others have to hear of it soon."""
--- a/micadeck/tier/settings.py
+++ b/micadeck/tier/settings.py
@@ -19,6 +19,7 @@
     "datagrams_per_s": (0.1, 5.0),
     "fanout": (0, 8),
     "wave_s": (5, 600),
+    "spread_s": (0, 4),
 }
 # What SIGHUP takes over, and what a digest may be of.
 TAKEN_OVER = ("discovery", "peers", "peers_all", "membership", "rollout")
@@ -52,6 +53,7 @@
     datagrams_per_s: float = 1.0  # exchanges begun while there is news; a fifth of it where there is none
     fanout: int = 3  # members that a newer version is pushed to at once
     wave_s: float = 30.0  # a tally begins anew so often; longer where the tier is too large for it
+    spread_s: float = 1.0  # each reads its file within so long of hearing: not all call discovery at once
     digest_of: tuple[str, ...] = TAKEN_OVER  # keys that all files of one version have alike
 
     @staticmethod
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -366,7 +366,7 @@
 
 
 def test_the_wake_goes_before_the_look_and_both_come_of_one_event() -> None:
-    tier = at_rest(3)
+    tier = at_rest(3, rollout=RolloutSettings(spread_s=0.0))
     rollout = tier.versioned(0).rollout
     now = tier.queue.now
     news = Tally(9, 1, 2, now, 1, 1, bit(2))
--- /dev/null
+++ b/tests/test_versions.py
@@ -0,0 +1,296 @@
+"""The configuration's version in real copies: one signal, all follow; switched off, nothing is loaded."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import subprocess
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+from loopback import HOST, free_for_datagrams, play, until
+from test_emulator import PROGRAM, ROOT, read_small
+from test_ground import a_day, trouble
+from test_program import GOOD
+
+from micadeck.client import Address
+from micadeck.config import Config, ConfigError, parse
+from micadeck.sidecar import Sidecar
+from micadeck.tier.exchange import Kind, write
+from micadeck.tier.message import tier_number
+from micadeck.tier.settings import RolloutSettings
+from micadeck.tier.tally import Tally
+from plumtrestle import events as log
+from plumtrestle.clock import DayClock
+from plumtrestle.emulator.copies import Sidecar as Copy
+from plumtrestle.emulator.copies import _asked
+from plumtrestle.emulator.datagrams import Relay
+from plumtrestle.links import Links
+
+QUICK = {"rollout": {"wave_s": 5, "datagrams_per_s": 5, "spread_s": 0, "digest_of": ["peers", "membership"]}}
+
+
+# Several copies of the program
+
+
+class Fleet:
+    """Real copies, with lossy links between them."""
+
+    def __init__(self, copies: list[Copy]) -> None:
+        self.copies = copies
+
+    def publish(self, copy: int, version: int) -> None:
+        """Put a file of this version in the place of a copy's, as a whole; nobody is told."""
+        path = self.copies[copy].folder / "config.json"
+        held = json.loads(path.read_text())
+        path.with_suffix(".new").write_text(json.dumps({**held, "version": version}))
+        path.with_suffix(".new").rename(path)
+        self.copies[copy].config["version"] = version
+
+    async def figures(self, copy: int) -> dict[str, Any]:
+        door = self.copies[copy]._door
+        assert door is not None
+        told = await _asked(door, "/api/telemetry")
+        return {} if told is None else json.loads(told).get("configuration", {})
+
+    async def until(self, **wanted: object) -> None:
+        """Wait until the figures of all say so."""
+        while True:
+            found = [await self.figures(number) for number in range(len(self.copies))]
+            if all(each.get(key) == value for each in found for key, value in wanted.items()):
+                return
+            await asyncio.sleep(0.05)
+
+    def said(self, copy: int, line: str) -> bool:
+        return line in (self.copies[copy].folder / "stderr.log").read_text()
+
+
+@asynccontextmanager
+async def fleet(count: int, folder: Path) -> AsyncIterator[Fleet]:
+    everywhere = {"between": ["copy:*"], "to": ["copy:*"]}
+    faults = "".join(
+        trouble(kind, 0.001, 300, amount=0.2, **everywhere) for kind in ("loss", "double", "reorder")
+    )
+    base = read_small().replace("count = 2", f"count = {count}\nconsole = true")
+    day = a_day(faults, base)
+    clock = DayClock()
+    with log.Writer(folder / "log.jsonl") as writer:
+        relay = Relay(clock, Links(day), writer, random.Random(1))
+        copies = [
+            Copy(
+                day,
+                each,
+                PROGRAM,
+                ROOT,
+                folder / f"copy-{each.number}",
+                clock,
+                writer,
+                random.Random(2),
+                30.0,
+            )
+            for each in day.copies
+        ]
+        await relay.start("127.15.0.1", [each.peer_listen for each in copies])
+        for each in copies:
+            each.configure(f"{HOST}:9", relay.peers, relay.everyone)
+            each.config |= {**QUICK, "version": 1}
+            each.listing = lambda: GOOD["known"]
+        clock.begin(0)
+        try:
+            await asyncio.gather(*(each.start() for each in copies))
+            yield Fleet(copies)
+        finally:
+            for each in copies:
+                await each.close()
+            relay.close()
+
+
+def test_one_is_signalled_and_all_follow_and_one_back_with_an_older_file_is_named(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with fleet(4, tmp_path) as running:
+            await running.until(version=1, in_force_everywhere=True)
+            for number in range(4):
+                running.publish(number, 2)
+            running.copies[3].hang_up()
+            await running.until(version=2, in_force_everywhere=True, in_force=4)
+            for number in range(4):
+                assert running.said(number, "re-read the configuration: discovery is at")
+                await until(lambda number=number: running.said(number, "version 2 in force here; everywhere"))  # type: ignore[misc]
+            await running.copies[1].kill()
+            running.publish(1, 1)
+            await running.copies[1].start()
+            await running.until(newest_heard=2, in_force_everywhere=False, behind=[1], ambiguous=False)
+            assert (await running.figures(1))["version"] == 1
+            running.publish(1, 2)  # and nobody tells it
+            await running.until(version=2, in_force_everywhere=True, behind=[])
+            running.publish(0, 1)
+            running.copies[0].hang_up()
+            await until(lambda: running.said(0, "kept the configuration: version: 1 is older than 2"))
+            assert (await running.figures(0))["refused"] == 1
+            await running.until(version=2)
+
+    play(work)
+
+
+# One copy
+
+
+def given(own: Address, other: Address, **more: object) -> dict[str, Any]:
+    return {
+        **GOOD,
+        "peer_listen": f"{own[0]}:{own[1]}",
+        "peers": [f"{each[0]}:{each[1]}" for each in (own, other)],
+        "settings": {**GOOD["settings"], "bounds": {"mayTell": True}},
+        **more,
+    }
+
+
+OFF: list[dict[str, Any]] = [
+    {},
+    {"rollout": {"fanout": 2}},
+    {"version": 3, "rollout": {"on": False}},
+    {"version": 3, "membership": {"on": False}},
+]
+
+
+@pytest.mark.parametrize("more", OFF, ids=str)
+def test_without_a_version_nothing_is_loaded_sent_or_refused(more: dict[str, Any]) -> None:
+    async def work() -> None:
+        own, other = free_for_datagrams(2)
+        heard: list[bytes] = []
+
+        class Ear(asyncio.DatagramProtocol):
+            def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+                heard.append(data)
+
+        ear, _ = await asyncio.get_running_loop().create_datagram_endpoint(Ear, local_addr=other)
+        sidecar = Sidecar(parse(given(own, other, **more)), print)
+        await sidecar.start()
+        assert sidecar._versions is None and sidecar.version is None
+        assert "configuration" not in sidecar.figures()
+        lower = parse(given(own, other, **{**more, "version": 1} if "version" in more else more))
+        assert sidecar.reconfigure(lower) == []  # taken over as ever
+        if sidecar._members is not None:
+            await until(lambda: len(heard) >= 2)
+            exchange = write(tier_number("0"), 1, Kind.ASK, Tally(9, 1, 1, 0), 0, 0)
+            sidecar._message_received(1, exchange)
+            assert sidecar._members.membership is not None
+            assert sidecar._members.membership.dropped["another version"] == 1
+        assert all(each[1] == 1 for each in heard)  # membership's, as the version before sends them
+        sidecar.close()
+        ear.close()
+
+    play(work)
+
+
+def test_without_a_version_the_mechanism_is_not_imported() -> None:
+    own, other = free_for_datagrams(2)
+    program = f"""
+import asyncio, sys
+from micadeck.config import parse
+from micadeck.sidecar import Sidecar
+async def work():
+    sidecar = Sidecar(parse({given(own, other)!r}), print)
+    await sidecar.start()
+    assert "micadeck.tier.membership" in sys.modules
+    assert not [name for name in sys.modules if "rollout" in name or "tally" in name or "exchange" in name]
+    sidecar.close()
+asyncio.run(work())
+"""
+    done = subprocess.run(
+        [sys.executable, "-c", program], cwd=ROOT, capture_output=True, text=True, check=False
+    )
+    assert done.returncode == 0, done.stderr
+
+
+def test_it_can_be_switched_on_and_off_while_running() -> None:
+    async def work() -> None:
+        own, other = free_for_datagrams(2)
+
+        def config(**more: object) -> Config:
+            return parse(given(own, other, **more))
+
+        sidecar = Sidecar(config(), print)
+        await sidecar.start()
+        sidecar.reconfigure(config(version=5))
+        assert sidecar.version == 5
+        figures = sidecar.figures()["configuration"]
+        assert isinstance(figures, dict)
+        assert figures["in_force_everywhere"] is None and figures["unheard"] == [1]
+        with pytest.raises(ConfigError, match="version: 4 is older than 5, which is in force"):
+            sidecar.reconfigure(config(version=4))
+        assert sidecar.version == 5
+        sidecar.reconfigure(config(version=5, rollout={"on": False}))
+        assert sidecar.version is None and "configuration" not in sidecar.figures()
+        sidecar.reconfigure(config(version=4))  # nothing was in force by a version
+        assert sidecar.version == 4
+        sidecar.reconfigure(config(version=6, membership={"on": False}))
+        assert sidecar.version is None
+        sidecar.reconfigure(config(version=2))
+        assert sidecar.version == 2
+        sidecar.reconfigure(config())
+        assert sidecar.version is None
+        sidecar.close()
+
+    play(work)
+
+
+def test_a_refused_file_changes_nothing_of_what_a_reload_changes() -> None:
+    async def work() -> None:
+        own, other = free_for_datagrams(2)
+        sidecar = Sidecar(parse(given(own, other, version=5)), print)
+        await sidecar.start()
+        moved = given(own, other, version=4, discovery=f"{HOST}:10")
+        moved["peers"] = moved["peers"][:1]
+        with pytest.raises(ConfigError):
+            sidecar.reconfigure(parse(moved))
+        assert sidecar._peers.size == 2 and sidecar._discovery._address == (HOST, 9)
+        sidecar.close()
+
+    play(work)
+
+
+@pytest.mark.parametrize(
+    ("more", "key"),
+    [
+        ({"version": -1}, "version"),
+        ({"version": 1 << 63}, "version"),
+        ({"version": "7"}, "version"),
+        ({"version": 7.0}, "version"),
+        ({"version": True}, "version"),
+        ({"rollout": 5}, "rollout.an object"),
+        ({"rollout": {"speed": 1}}, "rollout.speed"),
+        ({"rollout": {"on": 1}}, "rollout.on"),
+        ({"rollout": {"fanout": 9}}, "rollout.fanout"),
+        ({"rollout": {"fanout": 2.5}}, "rollout.fanout"),
+        ({"rollout": {"datagrams_per_s": 0}}, "rollout.datagrams_per_s"),
+        ({"rollout": {"wave_s": float("nan")}}, "rollout.wave_s"),
+        ({"rollout": {"spread_s": 5}}, "rollout.spread_s"),
+        ({"rollout": {"digest_of": []}}, "rollout.digest_of"),
+        ({"rollout": {"digest_of": ["seed"]}}, "rollout.digest_of"),
+    ],
+    ids=str,
+)
+def test_nonsense_is_named(more: dict[str, Any], key: str) -> None:
+    with pytest.raises(ConfigError) as complaint:
+        parse({**GOOD, **more})
+    assert str(complaint.value).startswith(key)
+
+
+def test_the_digest_is_of_what_all_files_of_a_version_have_alike() -> None:
+    own, other = free_for_datagrams(2)
+    first = parse(given(own, other, version=1))
+    assert (
+        parse(given(own, other, version=1, name="n7", seed="77", console=f"{HOST}:5")).digest == first.digest
+    )
+    assert parse(given(own, other, version=1, discovery=f"{HOST}:10")).digest != first.digest
+    left_out = {"rollout": {"digest_of": ["peers", "membership"]}}
+    some = parse(given(own, other, version=1, **left_out))
+    assert parse(given(own, other, version=1, discovery=f"{HOST}:10", **left_out)).digest == some.digest
+    assert parse(given(own, other)).digest == 0 and parse(given(own, other)).version is None
+    assert first.rollout == RolloutSettings()
