--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 
-.PHONY: setup test lint check native-check bench bench-ground fuzz explore membership
+.PHONY: setup test lint check native-check bench bench-ground fuzz explore membership rollout
 
 FUZZ_S ?= 60
 
@@ -51,3 +51,7 @@
 # What membership costs and how quickly it finds out: tables, and the plot of docs/membership.md.
 membership: setup
 	$(BIN)/python -m plumtrestle.tier.measure
+
+# Until a configuration is in force everywhere, and what comparing versions costs: docs/capacity/rollout-*.json.
+rollout: setup
+	$(BIN)/python -m plumtrestle.tier.rollouts --save
--- a/micadeck/rollout.py
+++ b/micadeck/rollout.py
@@ -74,8 +74,8 @@
             )
             self._carry_out(self._rollout.start(now))
         else:
-            self._carry_out(self._rollout.configure(now, settings))
-            self._carry_out(self._rollout.in_force(now, version, config.digest))
+            steps = self._rollout.configure(now, settings)
+            self._carry_out(steps + self._rollout.in_force(now, version, config.digest))
 
     def heard(self, sender: int, payload: bytes) -> bool:
         """Take a datagram from a member; no if it is none about versions, or these are not compared."""
--- a/plumtrestle/tier/versions.py
+++ b/plumtrestle/tier/versions.py
@@ -82,7 +82,8 @@
             return False
         if (file.version, file.digest) != (self.rollout.version, self.rollout.digest):
             tier.applied.setdefault(file.version, {}).setdefault(self.number, tier.queue.now)
-            self.step(self.rollout.in_force(tier.queue.now, file.version, file.digest))
+            steps = self.rollout.in_force(tier.queue.now, file.version, file.digest)
+            self.step(steps if tier.are_versions_on else [])
         return True
 
     def resume(self) -> None:
