--- /dev/null
+++ b/fuzz/fuzz_rollout.py
@@ -0,0 +1,51 @@
+"""Coverage-guided fuzzing of datagrams about versions of the configuration: `make fuzz`.
+
+An input is a row of datagrams, each behind a byte for its sender and one for its length.  Whatever comes,
+there is no exception and no growth, what is not well formed changes nothing, and the version that is in force
+is only ever changed by the file.
+"""
+
+import random
+import sys
+from pathlib import Path
+
+import atheris
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path[:0] = [str(ROOT)]
+
+with atheris.instrument_imports(include=["micadeck.tier"]):
+    from micadeck.tier.answer import Look
+    from micadeck.tier.message import MOST_MEMBERS
+    from micadeck.tier.rollout import Rollout
+    from micadeck.tier.settings import RolloutSettings
+    from micadeck.tier.table import Table
+
+SIZE = 5
+
+
+def one(data: bytes) -> None:
+    """Play one input; an exception is a finding."""
+    member = Rollout(0, "a", Table(SIZE, 0), RolloutSettings(), random.Random(1), 0, 1, 5)
+    member.start(0)
+    now, looks = 0, 0
+    while len(data) > 2:
+        sender, length = data[0] % (SIZE + 1), data[1]
+        payload, data = data[2 : 2 + length], data[2 + length :]
+        now += 50_000
+        before, dropped = member.tally, member.dropped.total()
+        out = member.heard(now, sender, payload)
+        if member.dropped.total() > dropped and not out:
+            assert member.tally == before, payload
+        out += member.tick(now + 20_000)
+        assert member.version == 1 and len(member.dropped) <= 7 and len(out) <= 16
+        assert member.tally.has < 1 << MOST_MEMBERS and member.tally.said_behind < 1 << MOST_MEMBERS
+        assert all(len(getattr(each, "payload", b"")) <= 256 for each in out)
+        looks += sum(isinstance(each, Look) for each in out)
+        assert member.answer(now).asked == SIZE
+    assert looks <= 2 + now / 250_000
+
+
+if __name__ == "__main__":
+    atheris.Setup(sys.argv, one)
+    atheris.Fuzz()
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -8,7 +8,7 @@
 import pytest
 
 from micadeck.tier.answer import MOST_NAMED, Ambiguous, Forgotten, Look, Missing, Settled
-from micadeck.tier.exchange import LAST_VERSION, LAST_WAVE, Kind, write
+from micadeck.tier.exchange import LAST_VERSION, LAST_WAVE, Kind, is_exchange, write
 from micadeck.tier.message import tier_number
 from micadeck.tier.rollout import Rollout
 from micadeck.tier.settings import RolloutSettings
@@ -16,6 +16,7 @@
 from micadeck.tier.tally import Tally, bit
 from micadeck.tier.view import Datagram
 from plumtrestle.tier.versions import File, Versioned, VersionedTier
+from plumtrestle.tier.virtual import Process
 
 IN_FORCE_S = 6.0  # the bound with its margin of two
 S = 1_000_000
@@ -113,6 +114,35 @@
     assert tier.until_in_force(3, 6.0) is not None
 
 
+def test_while_a_wave_fills_the_answer_is_that_of_the_wave_before_and_says_how_old_it_is() -> None:
+    tier = at_rest(9)
+    wave_us = tier.versioned(0).rollout.wave_us
+    waves = set()
+    for _ in range(800):
+        tier.run(0.25)
+        found = tier.answer(4)
+        assert found.everywhere and found.age_us <= 2 * wave_us
+        waves.add(found.wave)
+    assert len(waves) >= 5
+
+
+def test_a_dead_member_is_tried_only_now_and_then() -> None:
+    tier = at_rest(6)
+    tier.kill(5)
+    tier.run(60.0)
+    receivers: list[int | None] = []
+    carry = tier.carry
+
+    def noted(source: Process, datagram: Datagram) -> None:
+        if is_exchange(datagram.payload):
+            receivers.append(datagram.receiver)
+        carry(source, datagram)
+
+    tier.carry = noted  # type: ignore[method-assign]
+    tier.run(400.0)
+    assert 0 < receivers.count(5) < 0.05 * len(receivers)
+
+
 # Networks
 
 
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import random
+import re
 import subprocess
 import sys
 from collections.abc import AsyncIterator
@@ -294,3 +295,13 @@
     assert parse(given(own, other, version=1, discovery=f"{HOST}:10", **left_out)).digest == some.digest
     assert parse(given(own, other)).digest == 0 and parse(given(own, other)).version is None
     assert first.rollout == RolloutSettings()
+
+
+def test_every_line_about_versions_stands_on_the_on_call_page() -> None:
+    page = (ROOT / "docs" / "on-call.md").read_text(encoding="utf-8")
+    source = (ROOT / "micadeck" / "rollout.py").read_text(encoding="utf-8")
+    written = re.findall(r'f"(configuration: [^"]*)"', source) + re.findall(r'f"\{version\}([^"]*)"', source)
+    assert len(written) == 6
+    for text in written:
+        fixed = max(re.split(r"\{[^}]*\}", text), key=len).strip(" :")
+        assert fixed and fixed in page, text
