--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 
-.PHONY: setup test lint check native-check bench bench-ground fuzz explore membership scale path slopes line capacity
+.PHONY: setup test lint check native-check bench bench-ground fuzz explore membership scale path slopes line capacity rollout
 
 FUZZ_S ?= 60
 
@@ -50,13 +50,16 @@
 	$(BIN)/python -m bench.startup telemetry
 	$(BIN)/python -m bench.stages
 
-# The codec against h11, then membership's datagrams, guided by coverage, FUZZ_S seconds each; finds go to build/
+
+# The codec against h11, then the tier's datagrams, guided by coverage, FUZZ_S seconds each; finds go to build/
 fuzz: setup
 	$(BIN)/pip install -q --disable-pip-version-check atheris==3.0.0
 	mkdir -p build/fuzz
 	$(BIN)/python fuzz/fuzz_codec.py -max_total_time=$(FUZZ_S) -artifact_prefix=build/ build/fuzz fuzz/corpus
 	mkdir -p build/fuzz-tier
 	$(BIN)/python fuzz/fuzz_tier.py -max_total_time=$(FUZZ_S) -artifact_prefix=build/ build/fuzz-tier fuzz/corpus-tier
+	mkdir -p build/fuzz-rollout
+	$(BIN)/python fuzz/fuzz_rollout.py -max_total_time=$(FUZZ_S) -artifact_prefix=build/ build/fuzz-rollout fuzz/corpus-rollout
 
 # Every order of a few events among three members of the tier, deeper than the tests go.
 explore: setup
@@ -83,3 +86,7 @@
 # docs/CAPACITY.md and its plots, from the runs in docs/capacity/ and plumtrestle/capacity/rows.toml.
 capacity: setup
 	$(BIN)/python -m plumtrestle.capacity
+
+# Until a configuration is in force everywhere, and what comparing versions costs: docs/capacity/rollout-*.json.
+rollout: setup
+	$(BIN)/python -m plumtrestle.tier.rollouts --save
