Feed only the first of a balancer's cold servers, so that the tier's budgets add up

A cold server's budget is what a warm one serves for this balancer, which holds where each balancer looks at `reach` servers. One that found no room at a cold server looked at the next: with a whole zone cold, all balancers looked at all of its servers, each with a budget for its `reach`.

--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -762,28 +762,30 @@
 
         Guards against a large fleet seen from many small balancers: each would hold a connection to each
         server, more than servers accept, and learn next to nothing of any.  A busy balancer reaches all.
+        Cold servers only from its very first: further ones are in the budgets of other balancers.
         """
         reach = self._reach()
         slots = {True: reach, False: reach}  # for servers of the own zone, and for others
         if self._settings.prices.cross_zone > 0.0:
             slots[False] = max(round(reach * self._remote_odds() * self._far_part), 1)
             slots[True] = reach - slots[False]
+        first = dict(slots)
         pool: list[Server] = []
         spare: list[Server] = []
         shy: list[Server] = []
         for each in self._ready:
-            if self._eligible(each, request):
+            near = each.zone == self._settings.zone
+            first[near] -= 1
+            if (first[near] >= 0 or not self._is_cold(each)) and self._eligible(each, request):
                 if self._is_shy(each, request.kind.name):
                     shy.append(each)
                     continue
-                near = each.zone == self._settings.zone
                 slots[near] -= 1
                 (pool if slots[near] >= 0 else spare).append(each)
                 if len(pool) >= reach:
                     break
         pool += spare[: reach - len(pool)]
-        pool = pool or shy[:reach]
-        return pool
+        return pool or shy[:reach]
 
     def _is_shy(self, server: Server, kind: str) -> bool:
         shy = server.shy.get(kind)
@@ -890,8 +892,7 @@
             return False  # rule 3: at once on hearing, without use of the grace
         if not self._cold_room(server, request.cost):
             return False  # rule 4
-        if self._is_cold(server):
-            server.allowance -= request.cost
+        server.allowance -= request.cost
         attempt = Attempt(len(request.attempts), server, self._now, self._answers)
         attempt.idled = self._idle_time(server)
         request.attempts.append(attempt)
@@ -1214,9 +1215,8 @@
             return None
         for server in self._ejected:
             waited = server.ejected_until is not None and self._now >= server.ejected_until
-            if waited and server.state is ServerState.READY and server.trial is None:
-                if self._cold_room(server, request.cost):
-                    return server
+            if waited and server.is_wanted and server.trial is None and self._cold_room(server, request.cost):
+                return server
         return None
 
     # -----------------------------------------------------------------------------------------------
