Count a request once in the budgets of cold servers, not each attempt for it

An even part of what a balancer sends was taken for bearable, further attempts after "full" included: the more servers turned away, the larger the budgets of the cold.

--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -897,7 +897,7 @@
         attempt.idled = self._idle_time(server)
         request.attempts.append(attempt)
         self._returning.pop(server, None)
-        self._sent.add(self._now, 1.0)
+        self._sent.add(self._now, float(attempt.index == 0))  # more would make budgets of what is turned away
         if server.ejected_until is not None:
             server.trial = attempt
             self._trials -= 1.0
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -213,3 +213,10 @@
     # Its servers have no room for most of the time: whoever looks for one must not find all of them.
     fleet = Fleet(balancers, ["a"] * 20 + ["b"] * 20, 0.6, seed=1)
     assert excess(fleet, named(0, 20), 0.6) <= 0.0
+
+
+@pytest.mark.parametrize("balancers", [30, 300])
+def test_half_of_a_small_fleet_comes_back_cold_under_a_burst(balancers: int) -> None:
+    # The warm ones turn away much: what is sent again elsewhere makes no budget.
+    fleet = Fleet(balancers, ["a"] * 8, 0.6, seed=1)
+    assert excess(fleet, named(0, 4), 1.8) <= 0.0
