--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -220,3 +220,10 @@
     # The warm ones turn away much: what is sent again elsewhere makes no budget.
     fleet = Fleet(balancers, ["a"] * 8, 0.6, seed=1)
     assert excess(fleet, named(0, 4), 1.8) <= 0.0
+
+
+@pytest.mark.parametrize("balancers", [30, 300])
+def test_all_but_one_come_back_cold(balancers: int) -> None:
+    # What they served before is no measure of the one that is left.
+    fleet = Fleet(balancers, ["a"] * 6, 1.2, seed=1)
+    assert excess(fleet, named(0, 5), 1.2) <= 0.0
