Take a cold server's budget from what a balancer sends, whatever the tier's number

The budget was filled by 1 / the part of the tier that is present, though it is a part of what each balancer sends itself: who is absent takes nothing of it. What else the number goes into is as it was.

--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -1252,7 +1252,7 @@
             bearable *= min(server.nominal / self._mean_size, 1.0)
         limit = rules.fall_multiple * self._warmth(server) * bearable
         most = max(1.0, COLD_BURST * limit * rules.fall_us)
-        filled = COLD_SHARE / self._present * limit * max(self._now - server.allowance_at, 0)
+        filled = COLD_SHARE * limit * max(self._now - server.allowance_at, 0)
         server.allowance = min(server.allowance + filled, most)
         server.allowance_at = self._now
         return server.allowance >= min(cost, most)
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -227,3 +227,9 @@
     # What they served before is no measure of the one that is left.
     fleet = Fleet(balancers, ["a"] * 6, 1.2, seed=1)
     assert excess(fleet, named(0, 5), 1.2) <= 0.0
+
+
+def test_a_tier_that_sees_half_of_itself_sends_no_more_to_the_cold() -> None:
+    # A cut between the sidecars need not be one between them and the servers.
+    fleet = Fleet(200, ["a"] * 8, 0.6, seed=1)
+    assert excess(fleet, named(0, 4), 1.8, all_told=TierSized(200, 100, 100)) <= 0.0
