Let an idle client go where the system itself has no descriptor for a new one

Accepting stopped for 0.1 s at EMFILE or ENFILE and began again, but nothing was let go: the budget of clients ends an idle one only when it is full, and here it was not, so a newcomer waited for up to 60 s. Now the connection that can best be spared makes room, and accepting goes on after 10 ms. The new test hangs without that. Gone through beside it, and held: idle clients of five kinds fill the budget while discovery is down; a server is dialled, a newcomer is served and the list is heard at the return.

--- a/micadeck/frontend.py
+++ b/micadeck/frontend.py
@@ -541,7 +541,7 @@
         self.last_opened = 0.0
 
     def listen(self, listening: socket.socket) -> None:
-        self._listener = Listener(listening, lambda: ClientSide(self))
+        self._listener = Listener(listening, lambda: ClientSide(self), self._make_room)
 
     @property
     def port(self) -> int:
--- a/micadeck/listener.py
+++ b/micadeck/listener.py
@@ -14,6 +14,7 @@
 _BACKLOG = 1_024
 _AT_ONCE = 8  # so many connections are accepted before those over the limit are let go
 _AGAIN_S = 0.1  # after which accepting is tried again when this machine had no room
+_MADE_S = 0.01  # and when a connection was let go for it, whose descriptor is free in the next rounds
 _NO_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -55,9 +56,16 @@
     Another process may accept from the same socket: it is never shut down, and its queue is left as it is.
     """
 
-    def __init__(self, own: socket.socket, made: Callable[[], asyncio.BaseProtocol]) -> None:
+    def __init__(
+        self,
+        own: socket.socket,
+        made: Callable[[], asyncio.BaseProtocol],
+        make_room: Callable[[], bool] = lambda: False,
+    ) -> None:
+        """`make_room` lets a connection go that can be spared, and says whether there was one."""
         self._socket = own
         self._made = made
+        self._make_room = make_room
         self._tasks: set[asyncio.Task[object]] = set()
         self._again: asyncio.TimerHandle | None = None
         own.setblocking(False)
@@ -113,7 +121,10 @@
             if fault.errno not in _NO_ROOM:
                 raise
             self._loop.remove_reader(self._socket)
-            self._again = self._loop.call_later(_AGAIN_S, self._accept_more)
+            # Guards against idle clients that hold what a new one needs, where the system has less to give
+            # than the settings say: their own budget would never end one.
+            wait_s = _MADE_S if self._make_room() else _AGAIN_S
+            self._again = self._loop.call_later(wait_s, self._accept_more)
             return False
         if _has_left(connection):
             # Guards against collapse: in a rush many give up while they queue, and cost no less.
--- /dev/null
+++ b/tests/test_descriptors.py
@@ -0,0 +1,88 @@
+"""Clients that fill the descriptors: discovery, servers and new clients get theirs all the same."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+
+import pytest
+from loopback import HOST, OK, line, play, request, stage, until
+
+import micadeck.sidecar
+from micadeck.client import Address
+from micadeck.listener import bound
+from micadeck.sidecar import Sidecar
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [
+        request("check"),
+        b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n",
+        b"",
+        b"GET /api HT",
+        request("lodge", body=b"xx")[:-1],
+    ],
+    ids=["at rest", "asked for health", "silent", "half a line", "half a body"],
+)
+def test_idle_clients_that_fill_the_descriptors_while_discovery_is_down_keep_nobody_out(sent: bytes) -> None:
+    async def work() -> None:
+        async with stage(OK, OK, given={"limits": {"sockets": 72}}) as scene:
+            frontend = scene.sidecar.frontend
+            await until(lambda: len(scene.discovery.heard) == 2)  # the list, and a watch behind it
+            port = int(scene.discovery.address.rpartition(":")[2])
+            scene.discovery.stop()
+            idle = []
+            for _ in range(3 * frontend._most):
+                idle.append(socket.create_connection((HOST, frontend.port)))
+                idle[-1].sendall(sent)
+                await asyncio.sleep(0)
+            await until(lambda: frontend.open_connections == frontend._most)
+            assert (await scene.ask("lodge")).status == 200  # a server is dialled, a newcomer is served
+            scene.discovery.servers = [line("s-1", scene.servers[1].address)]
+            await scene.discovery.start(port)
+            await until(lambda: scene.sidecar._balancer.members()[0] == 1)  # the list is heard again
+            assert frontend.open_connections <= frontend._most
+            assert (await scene.ask("lodge")).status == 200
+            for each in idle:
+                each.close()
+
+    play(work)
+
+
+class Crowded(socket.socket):
+    """A listening socket on a machine that has descriptors for so many clients only."""
+
+    room = 4
+    refused = 0
+    sidecar: Sidecar | None = None
+
+    def accept(self) -> tuple[socket.socket, Address]:
+        if self.sidecar is not None and self.sidecar.frontend.open_connections >= self.room:
+            self.refused += 1
+            raise OSError(errno.EMFILE, "Too many open files")
+        return super().accept()
+
+
+def test_where_the_system_has_no_descriptor_left_an_idle_client_makes_room(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    crowded: list[Crowded] = []
+
+    def crowd(address: Address) -> socket.socket:
+        own = bound(address)
+        crowded.append(Crowded(own.family, own.type, own.proto, own.detach()))
+        return crowded[0]
+
+    monkeypatch.setattr(micadeck.sidecar, "bound", crowd)
+
+    async def work() -> None:
+        async with stage(OK) as scene:
+            crowded[0].sidecar = scene.sidecar
+            for _ in range(3 * Crowded.room):
+                assert (await scene.ask("lodge")).status == 200  # and its connection rests
+            assert crowded[0].refused > 0
+            assert scene.sidecar.frontend.open_connections <= Crowded.room
+
+    play(work)
