Ask a client's socket before each further attempt, not only after a dial

A further attempt on a connection that was there was written without asking whether the client still waits: its end counted from when the event loop heard it. A busy process hears a server's answer or a timer before an older end, and the attempt then begins however long after the close. Now a redraw, second copy or trial asks the socket as a late dial does; a first attempt was asked in its own turn.

--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -535,7 +535,7 @@
         call.sent_at = sent_at
         held.calls.append(call)
         held.out += 1
-        self._upstream.start(call)
+        self._upstream.start(call, is_late=attempt > 0)
 
     def _probe(self, server: str) -> None:
         sent_at = self._clock.now()
--- a/micadeck/upstream.py
+++ b/micadeck/upstream.py
@@ -164,10 +164,11 @@
 
     # Calls
 
-    def start(self, call: Call) -> None:
+    def start(self, call: Call, *, is_late: bool = False) -> None:
+        """Begin a call; `is_late`: its request was not read in this turn of the event loop."""
         loop = asyncio.get_running_loop()
         server = self._servers.get(call.server)
-        if server is None or not self._may_begin(call, server, is_late=False):
+        if server is None or not self._may_begin(call, server, is_late=is_late):
             loop.call_soon(self._end, call, Outcome.UNSENT)
             return
         self._set_expiry(call)
@@ -187,7 +188,8 @@
 
         What was decided before a dial may be over after it: the class's window for repeats, the deadline, the
         server's time (rule 3), the request itself, or the client's patience.  That last is asked of the
-        socket where the write is late; in the turn in which a request was read, it was just asked.
+        socket where the write is late, as after a dial and in every further attempt: a busy event loop may
+        hear an answer, or a timer, before an older end.  In the turn that read the request it was just asked.
         """
         if self._before_writing is not None:
             self._before_writing()
--- a/tests/test_late_dials.py
+++ b/tests/test_late_dials.py
@@ -7,12 +7,16 @@
 
 import asyncio
 import contextlib
+import os
+import socket
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from typing import Any
 
 import pytest
 from loopback import (
+    FULL,
+    HOST,
     OK,
     Heard,
     SlowToAccept,
@@ -356,3 +360,36 @@
         slow.close()
 
     play(work)
+
+
+def test_a_client_that_left_before_a_further_attempt_gets_none_though_its_end_is_unheard() -> None:
+    # Guards the operators' 0.1 s in a busy process: it hears a server's answer first, and draws again, on a
+    # connection that is there.
+    async def work() -> None:
+        warm = asyncio.Event()
+        leaving: list[socket.socket] = []
+
+        async def script(heard: Heard) -> bytes | None:
+            if not leaving:
+                await warm.wait()
+                return OK
+            # At once, and in this order: the event loop sees both in one round.
+            os.write(heard.writer.get_extra_info("socket").fileno(), FULL)
+            leaving[0].close()
+            return None
+
+        async with stage(script, script) as scene:
+            for count in (1, 2):
+                (await scene.client()).send(request("lodge", timeout="50"))
+                await until(lambda sent=count: len(scene.heard) == sent)  # type: ignore[misc]
+            warm.set()
+            await until(lambda: at_the_sidecar(scene) == 0)
+            assert [len(each.heard) for each in scene.servers] == [1, 1]  # a connection to each
+            leaving.append(socket.create_connection((HOST, scene.sidecar.frontend.port)))
+            leaving[0].sendall(request("lodge", timeout="50"))
+            await until(lambda: len(scene.heard) >= 3)
+            await until(lambda: at_the_sidecar(scene) == 0)
+            await asyncio.sleep(0.05)
+            assert len(scene.heard) == 3
+
+    play(work)
