Open the file of excluded servers without waiting, whatever lies in its place

A start read it with an open that waits: with a pipe in its place the process was never ready, and a call of the operators would have waited on the lock file likewise. Now neither open waits, and what comes of it is ignored with a line as before.

--- a/micadeck/handover.py
+++ b/micadeck/handover.py
@@ -31,7 +31,7 @@
     def read(self) -> frozenset[str] | None:
         """The servers taken out; None if there is no word of it, or none that makes sense."""
         try:
-            with self._path.open("rb") as file:
+            with open(self._path, "rb", opener=_at_once) as file:
                 self._seen = _identity(os.fstat(file.fileno()))
                 given = json.loads(file.read(_MOST_BYTES))
             return frozenset(_ids(given))
@@ -44,7 +44,7 @@
     def record(self, member: str, is_out: bool, known: frozenset[str]) -> None:
         """Write that a server is out, or back; `known` are those out as far as this process knows."""
         try:
-            with self._path.with_suffix(".lock").open("wb") as lock:
+            with open(self._path.with_suffix(".lock"), "wb", opener=_at_once) as lock:
                 fcntl.flock(lock, fcntl.LOCK_EX)  # held for one read and one write
                 before = self.read()
                 out = known if before is None else before
@@ -85,6 +85,11 @@
         fresh.replace(self._path)
 
 
+def _at_once(path: str, flags: int) -> int:
+    """Open a file without waiting: of a pipe in its place the other end may never come."""
+    return os.open(path, flags | os.O_NONBLOCK, 0o666)
+
+
 def _identity(status: os.stat_result) -> tuple[int, int]:
     return status.st_ino, status.st_mtime_ns
 
