Serve on without membership where the port for datagrams is taken

A start ended with code 1 if peer_listen could not be bound: an optional part kept all clients out. The new test (a port that is taken, and a request served) fails without this.

--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -46,7 +46,7 @@
 )
 from micadeck import discovery
 from micadeck.catalog import Listing
-from micadeck.client import ClientConnection, Message, Response
+from micadeck.client import Address, ClientConnection, Message, Response
 from micadeck.clock import Clock
 from micadeck.config import Config
 from micadeck.console import MOST_CALLERS, Console
@@ -175,8 +175,7 @@
     async def start(self) -> None:
         """Take up the last known list, then listen."""
         if self._settings.limits.may_message and self._config.peer_listen is not None:
-            await self._peers.listen(self._config.peer_listen, shared=self._held is not None)
-            self._keep_track(self._config.membership)
+            await self._hear_peers(self._config.peer_listen)
         if self.console is not None and self._config.console is not None:
             await self.console.listen(self._config.console)
         self._upstream.listed(self._config.known)
@@ -191,6 +190,15 @@
         await self._discovery.first_word(_FIRST_WORD_S)
         self.frontend.listen(self._held or bound(self._config.listen))
 
+    async def _hear_peers(self, address: Address) -> None:
+        """Hear the others, and keep track of them; a port that is taken holds up no start."""
+        try:
+            await self._peers.listen(address, shared=self._held is not None)
+        except OSError as fault:
+            self._log(f"can't hear other sidecars: {fault}")
+        else:
+            self._keep_track(self._config.membership)
+
     def reconfigure(self, config: Config) -> list[str]:
         """Take over what may change while running: where discovery and the others are, and membership.
 
--- a/tests/test_ready.py
+++ b/tests/test_ready.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import socket
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -88,6 +89,24 @@
 TIER = {"bounds": {"mayTell": True}, "groupSize": 2, "me": 0}
 
 
+def test_a_taken_port_for_datagrams_holds_up_no_start() -> None:
+    async def work() -> None:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as taken:
+            taken.bind((HOST, 0))
+            port = taken.getsockname()[1]
+            log = await ready(
+                {
+                    "peer_listen": f"{HOST}:{port}",
+                    "peers": [f"{HOST}:{port}", f"{HOST}:9"],
+                    "membership": {"on": True},
+                },
+                TIER,
+            )
+            assert any("other sidecars" in each for each in log)
+
+    play(work)
+
+
 @pytest.mark.parametrize("discovery", ["on_request", "pushed"])
 def test_peers_and_discovery_that_nobody_finds_hold_up_no_start(discovery: str) -> None:
     async def work() -> None:
