--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -762,28 +762,30 @@
 
         Guards against a large fleet seen from many small balancers: each would hold a connection to each
         server, more than servers accept, and learn next to nothing of any.  A busy balancer reaches all.
+        Cold servers only from its very first: further ones are in the budgets of other balancers.
         """
         reach = self._reach()
         slots = {True: reach, False: reach}  # for servers of the own zone, and for others
         if self._settings.prices.cross_zone > 0.0:
             slots[False] = max(round(reach * self._remote_odds() * self._far_part), 1)
             slots[True] = reach - slots[False]
+        first = dict(slots)
         pool: list[Server] = []
         spare: list[Server] = []
         shy: list[Server] = []
         for each in self._ready:
-            if self._eligible(each, request):
+            near = each.zone == self._settings.zone
+            first[near] -= 1
+            if (first[near] >= 0 or not self._is_cold(each)) and self._eligible(each, request):
                 if self._is_shy(each, request.kind.name):
                     shy.append(each)
                     continue
-                near = each.zone == self._settings.zone
                 slots[near] -= 1
                 (pool if slots[near] >= 0 else spare).append(each)
                 if len(pool) >= reach:
                     break
         pool += spare[: reach - len(pool)]
-        pool = pool or shy[:reach]
-        return pool
+        return pool or shy[:reach]
 
     def _is_shy(self, server: Server, kind: str) -> bool:
         shy = server.shy.get(kind)
@@ -890,13 +892,12 @@
             return False  # rule 3: at once on hearing, without use of the grace
         if not self._cold_room(server, request.cost):
             return False  # rule 4
-        if self._is_cold(server):
-            server.allowance -= request.cost
+        server.allowance -= request.cost
         attempt = Attempt(len(request.attempts), server, self._now, self._answers)
         attempt.idled = self._idle_time(server)
         request.attempts.append(attempt)
         self._returning.pop(server, None)
-        self._sent.add(self._now, 1.0)
+        self._sent.add(self._now, float(attempt.index == 0))  # more would make budgets of what is turned away
         if server.ejected_until is not None:
             server.trial = attempt
             self._trials -= 1.0
@@ -1214,9 +1215,8 @@
             return None
         for server in self._ejected:
             waited = server.ejected_until is not None and self._now >= server.ejected_until
-            if waited and server.state is ServerState.READY and server.trial is None:
-                if self._cold_room(server, request.cost):
-                    return server
+            if waited and server.is_wanted and server.trial is None and self._cold_room(server, request.cost):
+                return server
         return None
 
     # -----------------------------------------------------------------------------------------------
@@ -1252,7 +1252,7 @@
             bearable *= min(server.nominal / self._mean_size, 1.0)
         limit = rules.fall_multiple * self._warmth(server) * bearable
         most = max(1.0, COLD_BURST * limit * rules.fall_us)
-        filled = COLD_SHARE / self._present * limit * max(self._now - server.allowance_at, 0)
+        filled = COLD_SHARE * limit * max(self._now - server.allowance_at, 0)
         server.allowance = min(server.allowance + filled, most)
         server.allowance_at = self._now
         return server.allowance >= min(cost, most)
@@ -1264,11 +1264,11 @@
             warm = [each for each in self._ready if not self._is_cold(each)]
             peers = warm or self._ready  # ejected ones too: they served a part of what is counted
             served = self._served_warm if warm else self._arrivals
-            self._bearable = served.per_us(self._now) / max(min(len(peers), self._reach()), 1)
-            # Warm servers that drown serve little, and a new balancer has seen none serve: an even part of
-            # what is sent is no less bearable, or the cold would starve while the warm drown.
+            bearable = served.per_us(self._now) / max(min(len(peers), self._reach()), 1)
+            # Or an even part of what is sent: a new balancer has seen none serve, and warm ones that drown
+            # serve little.  At most twice that: what the cold served before is counted for a while.
             even = self._sent.per_us(self._now) / max(min(len(self._ready), self._reach()), 1)
-            self._bearable = max(self._bearable, even)
+            self._bearable = max(min(bearable, 2.0 * even), even) if warm else bearable
             self._mean_size = sum(each.nominal for each in peers) / max(len(peers), 1)
         return self._bearable
 
