--- a/plumtrestle/scale/crew.py
+++ b/plumtrestle/scale/crew.py
@@ -116,7 +116,7 @@
             child = await _Child.start(worded, self._root, number, self._folder / f"worker-{number}.log")
             self._children.append(child)
             told = {each: self._configuration(each) for each in share}
-            child.tell(Share(number, self.plan.seed, self.plan.real, told))
+            child.tell(Share(number, self.plan.seed, self.plan.real, told, str(self._folder)))
         ports = {each: port for reply in await self._all(Order("bind")) for each, port in reply.ports.items()}
         clock = DayClock(time.monotonic_ns())
         for number in range(self.plan.real + self.plan.off):
@@ -131,7 +131,7 @@
         for real in (*self.real, *self.off):
             real.configure(self.discovery.address, peers, "")
             given = self._configuration(real.number)
-            real.config |= {"settings": given["settings"], "membership": given["membership"]}
+            real.config |= {key: given[key] for key in ("settings", "membership", "version") if key in given}
         for real in self.off:
             real.config["membership"] = {"on": False}
         await self._all(Order("introduce", peers=peers))
@@ -171,6 +171,19 @@
         """So many datagrams are lost, but for those between two real members."""
         await self._all(Order("loss", amount=part))
 
+    async def publish(self, version: int) -> None:
+        """A file of this version lies with everybody; nobody has been told to read it."""
+        for real in (*self.real, *self.off):
+            real.publish(version)
+        await self._all(Order("publish", amount=float(version)))
+
+    async def hang_up(self, member: int) -> None:
+        """SIGHUP, or for a hollow member what the program does at it."""
+        if member < self.plan.real:
+            self.real[member].hang_up()
+        else:
+            await self._all(Order("hang up", [member]))
+
     # What they say
 
     async def watch(self, what: str, members: list[int], began: float) -> None:
--- a/plumtrestle/scale/figures.py
+++ b/plumtrestle/scale/figures.py
@@ -65,7 +65,7 @@
         return [each for case in self.cases for each in case.faults]
 
     def case(self, name: str) -> Case:
-        own = Case(name)
+        own = Case(f"{name}-versions" if self.plan.has_versions else name)
         self.cases.append(own)
         return own
 
--- a/plumtrestle/scale/hollow.py
+++ b/plumtrestle/scale/hollow.py
@@ -58,6 +58,7 @@
         self.wrongly_dead: set[tuple[int, int]] = set()  # lives that were called dead and were not
         self.on_gone: Callable[[int, int], None] = lambda by, member: None
         self.on_told: Callable[[int], None] = lambda member: None
+        self.on_version: Callable[[int, int], None] = lambda member, version: None
         self._chance = rng.random
 
     def is_cut(self, one: int, other: int) -> bool:
@@ -136,7 +137,7 @@
     def __init__(
         self, ground: Ground, number: int, counts: Counts, own: socket.socket, config: Config
     ) -> None:
-        super().__init__(config, _unheard)
+        super().__init__(config, unheard)
         self.number = number
         self._ground = ground
         self._peers: Peers = GroundPeers(ground, counts, own, config.peers, number, self._message_received)
@@ -149,7 +150,7 @@
         if self._members is None and membership.on:
             own, number = self._config, self.number
             members = GroundMembers(
-                number, own.tier, own.seed, self._clock, self._peers, _unheard, self._tier_sized
+                number, own.tier, own.seed, self._clock, self._peers, unheard, self._tier_sized
             )
             members.on_gone = lambda news: self._ground.hear(number, news)
             self._members = members
@@ -159,6 +160,12 @@
         self._ground.on_told(self.number)
         super()._listed(listing)
 
+    def reconfigure(self, config: Config) -> list[str]:
+        kept = super().reconfigure(config)
+        if self.version is not None:
+            self._ground.on_version(self.number, self.version)
+        return kept
+
     def leave(self) -> None:
         """End as planned: the others are told."""
         if self._members is not None:
@@ -197,5 +204,5 @@
         pass
 
 
-def _unheard(_: str) -> None:
+def unheard(_: str) -> None:
     """Nobody reads a hollow member's log."""
--- a/plumtrestle/scale/keep.py
+++ b/plumtrestle/scale/keep.py
@@ -11,6 +11,7 @@
 def kept(figures: Figures, command: str, folder: Path = FOLDER) -> list[Path]:
     """Write them; where a case has a fault, a second file holds it, not valid, with the reason."""
     name = f"scale-{figures.plan.members:04d}-seed{figures.plan.seed}"
+    name += "-versions" if figures.plan.has_versions else ""
     notes = "; ".join(figures.notes)
     out = [save(name, command, figures.usable, notes=notes, folder=folder)] if figures.usable else []
     if figures.faults:
--- a/plumtrestle/scale/plan.py
+++ b/plumtrestle/scale/plan.py
@@ -40,13 +40,14 @@
     LOSS = "loss"
     RESTARTS = "restarts"
     DISCOVERY = "discovery"
+    CONFIG = "config"
 
 
 class Plan(msgspec.Struct, frozen=True, kw_only=True):
     """One run.  Members are numbered: the real ones first, then the hollow ones."""
 
     members: int
-    events: tuple[Event, ...] = tuple(Event)
+    events: tuple[Event, ...] = (Event.START, Event.REST)
     real: int = 4  # processes of the program that are members
     off: int = 2  # and beside them processes whose membership is off, to have the difference
     workers: int = 8  # processes that share the hollow members
@@ -62,6 +63,11 @@
     within_s: float = 1_800.0  # the whole run
     membership: dict[str, bool | float] = {}  # of every member's configuration
 
+    @property
+    def has_versions(self) -> bool:
+        """Whether all compare versions of the configuration, from the start on; that has its own costs."""
+        return Event.CONFIG in self.events
+
     @property
     def hollow(self) -> range:
         return range(self.real, self.members)
@@ -128,8 +134,9 @@
 
 
 def fitted(members: int) -> tuple[Event, ...]:
-    """All events that a tier of this size can have."""
-    return tuple(each for each in Event if each is not Event.RACK or members >= RACK_FROM)
+    """All events that a tier of this size can have while versions are not compared."""
+    events = tuple(each for each in Event if each is not Event.CONFIG)
+    return tuple(each for each in events if each is not Event.RACK or members >= RACK_FROM)
 
 
 _WORLD = """
@@ -167,7 +174,9 @@
 def configuration(plan: Plan, day: Day, number: int, discovery: str) -> dict[str, Any]:
     """A member's configuration, without addresses of its own and of the others."""
     told: Mapping[str, Any] = settings(day, number)
+    versioned = {"version": 1} if plan.has_versions else {}
     return {
+        **versioned,
         "name": f"n{number}",
         "listen": "127.0.0.1:0",
         "discovery": discovery,
--- a/plumtrestle/scale/play.py
+++ b/plumtrestle/scale/play.py
@@ -58,6 +58,7 @@
             Event.LOSS: self._lossy,
             Event.RESTARTS: self._restarts,
             Event.DISCOVERY: self._discovery_down,
+            Event.CONFIG: self._new_version,
         }
         await self._start()
         for event in Event:
@@ -165,6 +166,43 @@
         )
         self._close(case, first, await self._crew.snapshot())
 
+    async def _new_version(self) -> None:
+        """A new file lies with all, and one is told to read it: until all have, and the one knows of it."""
+        case, version, one = self._figures.case("configuration"), 2, self._victim()
+        await self._crew.publish(version)
+        first = await self._crew.snapshot()
+        began = time.monotonic()
+        await self._crew.watch("versions", [version], began)
+        await self._crew.hang_up(one)
+        real: dict[int, float] = {}  # when each real member was seen to have it
+        known: float | None = None if one < self._plan.real else 0.0  # a hollow one is not asked
+        waits, took = await self._crew.watched()
+        ends = began + self._plan.agree_within_s
+        while time.monotonic() < ends and (waits or known is None or len(real) < len(self._crew.living)):
+            for each in self._crew.living:
+                told = (await each.told()).get("configuration", {})
+                if told.get("version") == version:
+                    real.setdefault(each.number, time.monotonic() - began)
+                    if each.number == one and told.get("in_force_everywhere") and known is None:
+                        known = time.monotonic() - began
+            await asyncio.sleep(_LOOK_S)
+            waits, took = await self._crew.watched()
+        missing = waits + len(self._crew.living) - len(real)
+        if missing:
+            case.notes.append(
+                f"{case.name}: {missing} members had it not within {time.monotonic() - began:.0f} s"
+            )
+        else:
+            self._figures.spread(case, "config.in_force", took, "s", "hollow", ("median", "p99", "max"))
+            self._figures.spread(case, "config.in_force", list(real.values()), "s", "real", ("median", "max"))
+            self._tell(f"{case.name}: in force everywhere after {max([*took, *real.values()]):.1f} s")
+        if known:
+            self._figures.sample(case, "config.known_everywhere", known, "s", "max", "real")
+            self._tell(f"{case.name}: known to be in force everywhere after {known:.1f} s")
+        elif known is None:
+            case.notes.append(f"{case.name}: {one} does not say that it is in force everywhere")
+        self._close(case, first, await self._crew.snapshot())
+
     # Waiting
 
     async def _known(self, case: Case, members: list[int], began: float) -> None:
--- a/plumtrestle/scale/real.py
+++ b/plumtrestle/scale/real.py
@@ -49,14 +49,24 @@
 
     async def view(self) -> str | None:
         """What it believes of all members, a letter each; None where it does not say."""
+        membership = (await self.told()).get("membership")
+        return str(membership["view"]) if isinstance(membership, dict) else None
+
+    async def told(self) -> dict[str, Any]:
+        """Its figures as operators see them; empty where it does not say."""
         if self._door is None or not self.is_alive:
-            return None
+            return {}
         told = await _asked(self._door, "/api/telemetry")
-        if told is None:
-            return None
-        given: dict[str, Any] = json.loads(told)
-        membership = given.get("membership")
-        return str(membership["view"]) if isinstance(membership, dict) else None
+        given: dict[str, Any] = {} if told is None else json.loads(told)
+        return given
+
+    def publish(self, version: int) -> None:
+        """Put a file of this version in the place of the last one; nobody is told."""
+        path = self.folder / "config.json"
+        held = json.loads(path.read_text())
+        self.config["version"] = version
+        path.with_suffix(".new").write_text(json.dumps({**held, "version": version}))
+        path.with_suffix(".new").rename(path)
 
     def usage(self) -> Usage | None:
         """Processor time, by the scheduler's nanoseconds, and resident memory; None where it has ended."""
--- a/plumtrestle/scale/worker.py
+++ b/plumtrestle/scale/worker.py
@@ -8,23 +8,23 @@
 
 import asyncio
 import gc
+import json
 import random
 import resource
 import socket
 import sys
 import time
-from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
 import msgspec
 import uvloop
 
-from micadeck.client import Address, parse_address
-from micadeck.config import parse
+from micadeck.config import load
+from micadeck.reload import Reload
 from micadeck.tier.membership import life_at
 from micadeck.tier.message import State
-from plumtrestle.scale.hollow import Counts, Ground, Hollow, Watch
+from plumtrestle.scale.hollow import Counts, Ground, Hollow, Watch, unheard
 from plumtrestle.scale.lag import Lag
 from plumtrestle.streams import lines_of_input
 
@@ -36,6 +36,7 @@
     seed: int
     real: int  # members below this number are processes of their own
     configurations: dict[int, dict[str, Any]]  # of each hollow member, without `peers`
+    folder: str  # for their files
 
 
 class Order(msgspec.Struct, frozen=True):
@@ -70,14 +71,15 @@
     def __init__(self, share: Share) -> None:
         self._share = share
         self._ground = Ground(share.real, random.Random(f"hollow {share.seed} {share.worker}"))
-        self._ground.on_gone = self._gone
-        self._ground.on_told = self._told
+        self._ground.on_gone = lambda by, member: self._heard("deaths", by, member)
+        self._ground.on_told = lambda member: self._heard("lists", member, 0)
+        self._ground.on_version = lambda member, version: self._heard("versions", member, version)
         self._counts = {number: Counts() for number in share.configurations}
         self._sockets = {number: _bound() for number in share.configurations}
-        self._peers: tuple[Address, ...] = ()
         self._alive: dict[int, Hollow] = {}
+        self._reloads: dict[int, Reload] = {}
         self._watch: Watch | None = None
-        self._is_for_lists = False  # whether the watch is for an answer of discovery
+        self._watched = ""  # what the watch is for
         self.lag = Lag()
 
     async def carry_out(self, order: Order) -> Reply:
@@ -85,7 +87,9 @@
             case "bind":
                 return Reply(ports={each: own.getsockname()[1] for each, own in self._sockets.items()})
             case "introduce":
-                self._peers = tuple(parse_address(each) for each in order.peers)
+                for number, each in self._share.configurations.items():
+                    each |= {"peers": order.peers, "peer_listen": order.peers[number]}
+                    self._write(number)
             case "start":
                 await self._start(order.members)
             case "kill":
@@ -99,10 +103,21 @@
             case "watch deaths":
                 killed, observers = set(order.members), self._alive.keys() - set(order.members)
                 self._watch = Watch(order.amount, {each: set(killed) for each in observers})
-                self._is_for_lists = False
+                self._watched = "deaths"
             case "watch lists":
                 self._watch = Watch(order.amount, {each: {0} for each in self._alive})
-                self._is_for_lists = True
+                self._watched = "lists"
+            case "watch versions":
+                self._watch = Watch(order.amount, {each: set(order.members) for each in self._alive})
+                self._watched = "versions"
+            case "publish":
+                for number, each in self._share.configurations.items():
+                    each["version"] = int(order.amount)
+                    self._write(number)
+            case "hang up":
+                for number in order.members:
+                    if number in self._alive:
+                        self._reloads[number].hang_up()
             case "watched":
                 if self._watch is not None:
                     return Reply(waits=len(self._watch.waits), took_s=self._watch.took_s)
@@ -120,10 +135,12 @@
         for number in members:
             self._ground.since[number] = least
             if number in self._sockets and number not in self._alive:
-                config = parse(self._share.configurations[number])
-                config = replace(config, peers=self._peers, peer_listen=self._peers[number])
+                environ = {"BALANCER_CONFIG": str(self._file(number))}
+                config = load(environ)
                 own = Hollow(self._ground, number, self._counts[number], self._sockets[number], config)
                 self._alive[number] = own
+                reload = self._reloads[number] = Reload(own, unheard, environ)
+                own.on_newer = reload.look  # as the program does
                 await own.start()
                 await asyncio.sleep(0)
         gc.freeze()  # as the program does after its start
@@ -137,13 +154,18 @@
                 if self._watch is not None:
                     self._watch.forget(number)
 
-    def _gone(self, by: int, member: int) -> None:
-        if self._watch is not None and not self._is_for_lists:
-            self._watch.heard(by, member)
+    def _heard(self, what: str, by: int, of: int) -> None:
+        if self._watch is not None and self._watched == what:
+            self._watch.heard(by, of)
 
-    def _told(self, member: int) -> None:
-        if self._watch is not None and self._is_for_lists:
-            self._watch.heard(member, 0)
+    def _file(self, number: int) -> Path:
+        return Path(self._share.folder) / f"hollow-{number}.json"
+
+    def _write(self, number: int) -> None:
+        """A member's file as a whole, in the place of the last one."""
+        path = self._file(number)
+        path.with_suffix(".new").write_text(json.dumps(self._share.configurations[number]))
+        path.with_suffix(".new").rename(path)
 
     def _look(self) -> Reply:
         own = [each.members.membership for each in self._alive.values() if each.members is not None]
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 import pytest
+from msgspec.structs import replace
 from test_emulator import PROGRAM, ROOT, running_below
 
 from micadeck.tier.message import State
@@ -64,6 +65,20 @@
     assert running_below(tmp_path) == []
 
 
+def test_a_new_configuration_that_one_member_is_told_of_is_in_force_everywhere(tmp_path: Path) -> None:
+    plan = replace(SMALL, members=10, real=2, events=(Event.START, Event.CONFIG))
+    figures = played(plan, tmp_path)
+    assert not [note for case in figures.cases for note in case.notes]
+    found = {
+        (each.measure, each.engine)
+        for case in figures.cases
+        for each in case.samples
+        if each.case == "configuration-versions"
+    }
+    assert {("config.in_force", "hollow"), ("config.in_force", "real")} <= found
+    assert ("config.known_everywhere", "real") in found
+
+
 _ENDED = """
 import asyncio, sys
 from pathlib import Path
