--- a/plumtrestle/scale/worker.py
+++ b/plumtrestle/scale/worker.py
@@ -97,8 +97,8 @@
             case "leave":
                 self._end(order.members, lambda each: each.leave())
             case "settle":
-                for each in self._memberships():
-                    each.settle()
+                for membership in self._memberships():
+                    membership.settle()
             case "cut":
                 self._ground.border = order.members[0] if order.members else None
             case "loss":
