--- a/plumtrestle/scale/figures.py
+++ b/plumtrestle/scale/figures.py
@@ -65,6 +65,8 @@
         return [each for case in self.cases for each in case.faults]
 
     def case(self, name: str) -> Case:
+        if self.plan.has_versions:
+            name += "-versions"
         own = Case(name if self.plan.settles else f"{name}-unsettled")
         self.cases.append(own)
         return own
