--- a/plumtrestle/tier/slopes.py
+++ b/plumtrestle/tier/slopes.py
@@ -170,7 +170,7 @@
 
 def measure(names: Sequence[str], jobs: int = JOBS) -> None:
     """Play these cases and write each as soon as it is whole."""
-    with ProcessPoolExecutor(jobs, max_tasks_per_child=8) as pool:
+    with ProcessPoolExecutor(jobs) as pool:
         cells = {
             name: {cell: pool.submit(played, name, *cell) for cell in CASES[name].cells()} for name in names
         }
