--- a/plumtrestle/capacity/feeds.py
+++ b/plumtrestle/capacity/feeds.py
@@ -106,6 +106,6 @@
             raise NotMeasured(f"not at {feed.at:g}")
         return None
     try:
-        return fit(points)
+        return fit([(size, value) for size, value in points if size >= 1.0])  # none has no logarithm
     except FitError as fault:
         raise NotMeasured(str(fault)) from None
--- a/plumtrestle/capacity/page.py
+++ b/plumtrestle/capacity/page.py
@@ -143,10 +143,9 @@
 
 def _range(each: Filled) -> str:
     """Least and greatest over seeds, where a figure is one that was measured."""
-    if each.how != "measured" or each.figures[0].seeds < 2:
+    if each.ends is None or each.figures[0].seeds < 2:
         return ""
-    own = each.figures[0]
-    return f" ({number(own.least)} to {number(own.most)})"
+    return f" ({number(each.ends[0])} to {number(each.ends[1])})"
 
 
 def _note(each: Filled, places: Mapping[str, str]) -> str:
--- a/plumtrestle/capacity/rows.py
+++ b/plumtrestle/capacity/rows.py
@@ -77,6 +77,7 @@
     unit: str
     how: str
     figures: tuple[Figure, ...]
+    ends: tuple[float, float] | None = None  # least and greatest over runs, of one that was measured
 
     @property
     def ratio(self) -> float | None:
@@ -126,9 +127,9 @@
             continue
         known = table.given | {name: each.value for name, each in figures.items()}
         value = evaluated(row.figure, known)
-        is_plain = row.figure in figures and figures[row.figure].is_measured
-        how = "measured" if is_plain else "worked out"
-        filled.append(Filled(row, budget, value, unit, how, tuple(figures.values())))
+        ends = _ends(row, figures)
+        how = "measured" if ends is not None else "worked out"
+        filled.append(Filled(row, budget, value, unit, how, tuple(figures.values()), ends))
     return filled, unfilled
 
 
@@ -144,6 +145,17 @@
     return found
 
 
+def _ends(row: Row, figures: Mapping[str, Figure]) -> tuple[float, float] | None:
+    """Least and greatest of a row that is one measured figure, be it in another unit; None of others."""
+    if names_in(row.figure) != set(figures) or len(figures) != 1:
+        return None
+    ((name, own),) = figures.items()
+    if not own.is_measured:
+        return None
+    ends = [evaluated(row.figure, {name: each}) for each in (own.least, own.most)]
+    return min(ends), max(ends)
+
+
 # Expressions: + - * / max min over names and numbers
 
 _BINARY: dict[type[ast.operator], Callable[[float, float], float]] = {
