--- a/plumtrestle/capacity/page.py
+++ b/plumtrestle/capacity/page.py
@@ -142,10 +142,12 @@
 
 
 def _range(each: Filled) -> str:
-    """Least and greatest over seeds, where a figure is one that was measured."""
-    if each.ends is None or each.figures[0].seeds < 2:
+    """Least and greatest over runs, where a figure is one that was measured."""
+    if each.ends is None:
         return ""
-    return f" ({number(each.ends[0])} to {number(each.ends[1])})"
+    if each.figures[0].seeds == 1:
+        return " (one run)"
+    return f" ({number(each.ends[0])} to {number(each.ends[1])} in {each.figures[0].seeds} runs)"
 
 
 def _note(each: Filled, places: Mapping[str, str]) -> str:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -177,6 +177,8 @@
     runs = [run(grown("flat", 10.0, 0.0)), run(grown("flat", 20.0, 0.0))]
     (filled,), _ = fill(table("cost / 10"), runs)
     assert (filled.value, filled.how, filled.ends) == (1.5, "measured", (1.0, 2.0))
+    assert "| 1.5 B/s (1 to 2 in 2 runs) |" in render(whole(table("cost / 10")), runs)
+    assert "| 1 B/s (one run) |" in render(whole(table("cost / 10")), runs[:1])
     (filled,), _ = fill(table("cost / 10"), [run({50: 1.0, 100: 1.0, 200: 1.0, 400: 1.0})])
     assert filled.value == pytest.approx(0.1)
     assert (filled.how, filled.ends) == ("worked out", None)
