--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -353,6 +353,19 @@
     assert tier.until_in_force(2, IN_FORCE_S) is not None
 
 
+def test_while_a_lie_stands_a_file_is_found_within_a_minute_although_nobody_tells_of_it() -> None:
+    tier = at_rest(6)
+    for second in range(150):
+        lie(tier, 5, LAST_VERSION, wave=second + 1)
+        tier.run(1.0)
+    tier.publish(2, first=0)
+    for second in range(150, 230):
+        lie(tier, 5, LAST_VERSION, wave=second + 1)
+        tier.run(1.0)
+    assert {each.rollout.version for each in tier.everyone if each.number != 5} == {2}
+    assert tier.answer(0).version == LAST_VERSION
+
+
 def test_a_liar_that_names_ever_higher_versions_gets_a_bounded_number_of_answers() -> None:
     tier = at_rest(10)
     began = [(each.exchanges, each.looks) for each in tier.everyone]
