Say of a version that waits for a restart that it is not in force

Need: SIGHUP takes over a part of the file; a sidecar that left the rest until a restart counted as having the version in force, so 'in force everywhere' could be said of what nobody ran. Change: such a file makes its version known, and the sidecar behind, until its restart; where versions were off it switches nothing on. Measured: three tests, which fail without it (the method is not there).

--- a/micadeck/rollout.py
+++ b/micadeck/rollout.py
@@ -61,21 +61,28 @@
         self._refused += 1
         return f"version: {config.version} is older than {self._rollout.version}, which is in force"
 
-    def configure(self, membership: Membership | None, config: Config) -> None:
-        """This configuration is in force from now on."""
+    def configure(self, membership: Membership | None, config: Config, is_whole: bool = True) -> None:
+        """This configuration is in force from now on; not `is_whole`: after a restart only."""
         now, version, settings = self._clock.now(), config.version, config.rollout
         if membership is None or version is None or not settings.on:
             self.close()
         elif self._rollout is None or self._table is not membership.table:
+            in_force = (version, config.digest)
+            if not is_whole:
+                if self._rollout is None:
+                    return  # which version is in force here is known after the restart
+                in_force = (self._rollout.version, self._rollout.digest)
             own = random.Random(self._random.getrandbits(64))
             self._table = membership.table
-            self._rollout = Rollout(
-                self._me, self._tier, self._table, settings, own, now, version, config.digest
-            )
+            self._rollout = Rollout(self._me, self._tier, self._table, settings, own, now, *in_force)
             self._carry_out(self._rollout.start(now))
         else:
             steps = self._rollout.configure(now, settings)
-            self._carry_out(steps + self._rollout.in_force(now, version, config.digest))
+            if is_whole:
+                steps += self._rollout.in_force(now, version, config.digest)
+            else:
+                steps += self._rollout.waiting(now, version)
+            self._carry_out(steps)
 
     def heard(self, sender: int, payload: bytes) -> bool:
         """Take a datagram from a member; no if it is none about versions, or these are not compared."""
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -216,10 +216,11 @@
                 raise ConfigError(refusal)
         self._discovery.move(config.discovery)
         self._peers.move(config.peers, config.peers_all)
+        kept = [key for key in _FIXED if getattr(config, key) != getattr(self._config, key)]
         if self._peers.is_listening and self._stop_by is None:
             self._keep_track(config.membership)
-            self._compare_versions(config)
-        return [key for key in _FIXED if getattr(config, key) != getattr(self._config, key)]
+            self._compare_versions(config, is_whole=not kept)
+        return kept
 
     def _tier_sized(self, size: Size) -> None:
         """The others' number is told to the decisions where it changed."""
@@ -240,8 +241,11 @@
             self._members = Members(me, own.tier, own.seed, self._clock, self._peers, log, self._tier_sized)
         self._members.configure(membership)
 
-    def _compare_versions(self, config: Config) -> None:
-        """Compare the configuration's version with the others', where it has one and they are known."""
+    def _compare_versions(self, config: Config, is_whole: bool = True) -> None:
+        """Compare the configuration's version with the others', where it has one and they are known.
+
+        Not `is_whole`: something in it waits for a restart, so it is not in force here.
+        """
         membership = None if self._members is None else self._members.membership
         if self._versions is None:
             if config.version is None or not config.rollout.on or membership is None:
@@ -252,7 +256,7 @@
             me, own = self._settings.me, self._config
             parts = (self._clock, self._peers, self._log, lambda: self.on_newer())
             self._versions = Versions(me, own.tier, own.seed, *parts)
-        self._versions.configure(membership, config)
+        self._versions.configure(membership, config, is_whole)
 
     @property
     def version(self) -> int | None:
--- a/micadeck/tier/rollout.py
+++ b/micadeck/tier/rollout.py
@@ -122,6 +122,12 @@
             self._look_at = None
         return self._done(now)
 
+    def waiting(self, now: int, version: int) -> list[Step]:
+        """This sidecar's file has this version, but a part of it waits for a restart: it is not in force."""
+        if version > self.tally.version:
+            self._newer(now, self.me, Tally(version, 1, self.me, now))
+        return self._done(now)
+
     def configure(self, now: int, settings: RolloutSettings) -> list[Step]:
         """Other settings from now on; who the others are is read from membership's table."""
         self._settings = settings
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -66,6 +66,17 @@
     assert tier.versioned(9).rollout.version == 1
 
 
+def test_a_version_that_waits_for_a_restart_somewhere_is_not_in_force_everywhere() -> None:
+    tier = at_rest(10)
+    waiting = tier.versioned(9)
+    waiting.step(waiting.rollout.waiting(tier.queue.now, 2))  # something in its file can't be taken over
+    tier.publish(2, first=0, members=range(9))
+    tier.run(30.0)
+    for number in range(10):
+        assert tier.answer(number).everywhere is False and tier.answer(number).behind == (9,)
+    assert waiting.rollout.version == 1
+
+
 def test_a_file_that_comes_later_is_found_without_a_signal() -> None:
     tier = at_rest(10)
     tier.publish(2, first=0, members=range(9))
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -241,6 +241,37 @@
     play(work)
 
 
+def test_what_waits_for_a_restart_is_not_said_to_be_in_force() -> None:
+    async def work() -> None:
+        own, other = free_for_datagrams(2)
+        sidecar = Sidecar(parse(given(own, other, version=5)), print)
+        await sidecar.start()
+        assert sidecar.reconfigure(
+            parse(given(own, other, version=6, limits={**GOOD["limits"], "sockets": 999}))
+        ) == ["sockets"]
+        assert sidecar.version == 5
+        figures = sidecar.figures()["configuration"]
+        assert isinstance(figures, dict)
+        assert (figures["newest_heard"], figures["in_force"]) == (6, 0)
+        assert sidecar.reconfigure(parse(given(own, other, version=7))) == []
+        assert sidecar.version == 7
+        sidecar.close()
+
+    play(work)
+
+
+def test_a_file_that_waits_for_a_restart_switches_nothing_on() -> None:
+    async def work() -> None:
+        own, other = free_for_datagrams(2)
+        sidecar = Sidecar(parse(given(own, other)), print)
+        await sidecar.start()
+        sidecar.reconfigure(parse(given(own, other, version=6, limits={**GOOD["limits"], "sockets": 999})))
+        assert sidecar.version is None and "configuration" not in sidecar.figures()
+        sidecar.close()
+
+    play(work)
+
+
 def test_a_refused_file_changes_nothing_of_what_a_reload_changes() -> None:
     async def work() -> None:
         own, other = free_for_datagrams(2)
