--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 
-.PHONY: setup test lint check native-check bench bench-ground fuzz explore membership slopes line capacity
+.PHONY: setup test lint check native-check bench bench-ground fuzz explore membership scale path slopes line capacity rollout
 
 FUZZ_S ?= 60
 
@@ -36,18 +36,41 @@
 bench-ground: setup
 	$(BIN)/python -m bench.ground
 
-# The codec against h11, then membership's datagrams, guided by coverage, FUZZ_S seconds each; finds go to build/
+# The data path and one process at size, some 25 minutes: data to docs/capacity/path-*.json.
+path: setup
+	$(BIN)/python deploy/native.py
+	$(BIN)/python -m bench.path latency
+	$(BIN)/python -m bench.path rates
+	$(BIN)/python -m bench.decide decide
+	$(BIN)/python -m bench.decide list
+	$(BIN)/python -m bench.member
+	$(BIN)/python -m bench.startup ready
+	$(BIN)/python -m bench.startup memory
+	$(BIN)/python -m bench.startup log
+	$(BIN)/python -m bench.startup telemetry
+	$(BIN)/python -m bench.stages
+
+
+# The codec against h11, then the tier's datagrams, guided by coverage, FUZZ_S seconds each; finds go to build/
 fuzz: setup
 	$(BIN)/pip install -q --disable-pip-version-check atheris==3.0.0
 	mkdir -p build/fuzz
 	$(BIN)/python fuzz/fuzz_codec.py -max_total_time=$(FUZZ_S) -artifact_prefix=build/ build/fuzz fuzz/corpus
 	mkdir -p build/fuzz-tier
 	$(BIN)/python fuzz/fuzz_tier.py -max_total_time=$(FUZZ_S) -artifact_prefix=build/ build/fuzz-tier fuzz/corpus-tier
+	mkdir -p build/fuzz-rollout
+	$(BIN)/python fuzz/fuzz_rollout.py -max_total_time=$(FUZZ_S) -artifact_prefix=build/ build/fuzz-rollout fuzz/corpus-rollout
 
 # Every order of a few events among three members of the tier, deeper than the tests go.
 explore: setup
 	$(BIN)/python -c 'from plumtrestle.tier.explore import explore; print(explore(4, 2, heal_every=3))'
 
+# Many members on this machine, real and hollow ones, each size for itself; figures go to docs/capacity.
+SIZES ?= 50 100 200 400 750
+
+scale: setup
+	for size in $(SIZES); do $(BIN)/plumtrestle scale --members $$size --save $(SCALE) || test $$? = 3 || exit 1; done
+
 # What membership costs and how quickly it finds out: tables, and the plot of docs/membership.md.
 membership: setup
 	$(BIN)/python -m plumtrestle.tier.measure
@@ -63,3 +86,7 @@
 # docs/CAPACITY.md and its plots, from the runs in docs/capacity/ and plumtrestle/capacity/rows.toml.
 capacity: setup
 	$(BIN)/python -m plumtrestle.capacity
+
+# Until a configuration is in force everywhere, and what comparing versions costs: docs/capacity/rollout-*.json.
+rollout: setup
+	$(BIN)/python -m plumtrestle.tier.rollouts --save
--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -58,10 +58,11 @@
 COLD_BURST = 0.18  # part of that load that may come at once
 PRESENT_LEAST = 0.67  # part of the tier taken to be there at least: a wrong view costs a factor of 1.5
 RATE_SPANS = 2.0  # rates are averaged over this many fall times
+TOLD_US = 6_000_000  # whatever failed, discovery's word counts as told so long after it could be reached
 ASK_AGAIN = 0.05  # first wait before asking discovery again, of the time allowed without asking
 ASK_AGAIN_EACH = 0.01  # or this for each balancer of the tier, where that is more
-ASK_AGAIN_LONGEST = 0.8  # the longest in a large tier: after a failed call four times the time is allowed
-ASK_AGAIN_MOST = 0.25  # and the longest: three failed calls in a row still fit
+ASK_AGAIN_MOST = 0.25  # the longest in a small tier: three failed calls in a row still fit
+ASK_AGAIN_LONGEST = 0.6  # and in a large one, of what is told late: the rest is for the call and its line
 REMOTE_LEAST = 0.25  # odds of a server in another zone while the own zone is as quick
 REMOTE_EVEN = 0.3  # the own zone this far behind the others' pace, all zones are drawn alike
 REMOTE_SPENT = 0.12  # or the typical answer at twice this part of its aim
@@ -394,17 +395,16 @@
         self._schedule(self._ask_due, _ASK, _WHOLE)
 
     def _ask_again_later(self) -> None:
-        """After a failed call: wait twice as long each time, with jitter, so that instances spread out.
+        """After a failed call: wait twice as long each time, up to what being told in time leaves.
 
-        The larger the tier, the longer: all of it calls one service, and calls that wait in vain fill its
-        queue, so that nobody gets through.
+        A tier calls one service, which serves calls one after another: the larger the tier, the longer the
+        waits.  The first is by chance, since calls fail together; later ones hardly differ, to stay spread.
         """
-        allowed = self._settings.rules.ask_within_us
         first = max(ASK_AGAIN, ASK_AGAIN_EACH * self._settings.group_size * self._present)
-        most = max(ASK_AGAIN_MOST, min(2.0 * first, ASK_AGAIN_LONGEST))
-        wait = min(first * 2**self._failed_calls, most) * allowed
+        wait = min(first * 2**self._failed_calls, max(ASK_AGAIN_MOST, 2.0 * first))
+        wait = min(wait * self._settings.rules.ask_within_us, ASK_AGAIN_LONGEST * TOLD_US)
+        self._ask_in(wait * self._random.uniform(0.8 if self._failed_calls else 0.0, 1.0))
         self._failed_calls = min(self._failed_calls + 1, 8)
-        self._ask_in(wait * (0.5 + 0.5 * self._random.random()))
 
     def _servers_listed(self, event: ServersListed) -> None:
         if event.kind is ListKind.FAILED:
@@ -762,28 +762,30 @@
 
         Guards against a large fleet seen from many small balancers: each would hold a connection to each
         server, more than servers accept, and learn next to nothing of any.  A busy balancer reaches all.
+        Cold servers only from its very first: further ones are in the budgets of other balancers.
         """
         reach = self._reach()
         slots = {True: reach, False: reach}  # for servers of the own zone, and for others
         if self._settings.prices.cross_zone > 0.0:
             slots[False] = max(round(reach * self._remote_odds() * self._far_part), 1)
             slots[True] = reach - slots[False]
+        first = dict(slots)
         pool: list[Server] = []
         spare: list[Server] = []
         shy: list[Server] = []
         for each in self._ready:
-            if self._eligible(each, request):
+            near = each.zone == self._settings.zone
+            first[near] -= 1
+            if (first[near] >= 0 or not self._is_cold(each)) and self._eligible(each, request):
                 if self._is_shy(each, request.kind.name):
                     shy.append(each)
                     continue
-                near = each.zone == self._settings.zone
                 slots[near] -= 1
                 (pool if slots[near] >= 0 else spare).append(each)
                 if len(pool) >= reach:
                     break
         pool += spare[: reach - len(pool)]
-        pool = pool or shy[:reach]
-        return pool
+        return pool or shy[:reach]
 
     def _is_shy(self, server: Server, kind: str) -> bool:
         shy = server.shy.get(kind)
@@ -890,13 +892,12 @@
             return False  # rule 3: at once on hearing, without use of the grace
         if not self._cold_room(server, request.cost):
             return False  # rule 4
-        if self._is_cold(server):
-            server.allowance -= request.cost
+        server.allowance -= request.cost
         attempt = Attempt(len(request.attempts), server, self._now, self._answers)
         attempt.idled = self._idle_time(server)
         request.attempts.append(attempt)
         self._returning.pop(server, None)
-        self._sent.add(self._now, 1.0)
+        self._sent.add(self._now, float(attempt.index == 0))  # more would make budgets of what is turned away
         if server.ejected_until is not None:
             server.trial = attempt
             self._trials -= 1.0
@@ -1214,9 +1215,8 @@
             return None
         for server in self._ejected:
             waited = server.ejected_until is not None and self._now >= server.ejected_until
-            if waited and server.state is ServerState.READY and server.trial is None:
-                if self._cold_room(server, request.cost):
-                    return server
+            if waited and server.is_wanted and server.trial is None and self._cold_room(server, request.cost):
+                return server
         return None
 
     # -----------------------------------------------------------------------------------------------
@@ -1252,7 +1252,7 @@
             bearable *= min(server.nominal / self._mean_size, 1.0)
         limit = rules.fall_multiple * self._warmth(server) * bearable
         most = max(1.0, COLD_BURST * limit * rules.fall_us)
-        filled = COLD_SHARE / self._present * limit * max(self._now - server.allowance_at, 0)
+        filled = COLD_SHARE * limit * max(self._now - server.allowance_at, 0)
         server.allowance = min(server.allowance + filled, most)
         server.allowance_at = self._now
         return server.allowance >= min(cost, most)
@@ -1264,11 +1264,11 @@
             warm = [each for each in self._ready if not self._is_cold(each)]
             peers = warm or self._ready  # ejected ones too: they served a part of what is counted
             served = self._served_warm if warm else self._arrivals
-            self._bearable = served.per_us(self._now) / max(min(len(peers), self._reach()), 1)
-            # Warm servers that drown serve little, and a new balancer has seen none serve: an even part of
-            # what is sent is no less bearable, or the cold would starve while the warm drown.
+            bearable = served.per_us(self._now) / max(min(len(peers), self._reach()), 1)
+            # Or an even part of what is sent: a new balancer has seen none serve, and warm ones that drown
+            # serve little.  At most twice that: what the cold served before is counted for a while.
             even = self._sent.per_us(self._now) / max(min(len(self._ready), self._reach()), 1)
-            self._bearable = max(self._bearable, even)
+            self._bearable = max(min(bearable, 2.0 * even), even) if warm else bearable
             self._mean_size = sum(each.nominal for each in peers) / max(len(peers), 1)
         return self._bearable
 
--- a/plumtrestle/emulator/copies.py
+++ b/plumtrestle/emulator/copies.py
@@ -54,6 +54,11 @@
         raise PlayError(f"{root}: the build failed: {done.stderr.strip()[-500:]}")
 
 
+def end_with_parent() -> None:
+    """In a child before it becomes its program: it is killed when the parent is gone, however that ended."""
+    _LIBC.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Process:
     """One process of the program."""
 
@@ -69,7 +74,7 @@
         """`ordinary`: even where this is root's, files that nobody may write are not written."""
 
         def prepare() -> None:
-            _LIBC.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)  # nothing is left behind
+            end_with_parent()
             if ordinary:
                 _LIBC.prctl(_PR_CAPBSET_DROP, _CAP_DAC_OVERRIDE)
 
@@ -94,6 +99,11 @@
         os.set_blocking(self._said.fileno(), False)
         asyncio.get_running_loop().add_reader(self._said.fileno(), self._hear)
 
+    @property
+    def number(self) -> int:
+        """The system's number of it."""
+        return self._popen.pid
+
     @property
     def code(self) -> int | None:
         return self._popen.returncode
