Tell on the page what there was before a mechanism, and keep missing for what has none

Change: a row states a figure or why it is missing; what was before stands in the note. Tests: the one of a missing row now gives it beside an overfull one; one more for before.

--- a/plumtrestle/capacity/page.py
+++ b/plumtrestle/capacity/page.py
@@ -154,8 +154,8 @@
     parts = []
     if each.how == "missing":
         parts.append(each.row.missing)
-    elif each.row.missing:
-        parts.append(f"before: {each.row.missing}")
+    if each.row.before:
+        parts.append(f"before: {each.row.before}")
     if each.how == "worked out":
         parts.append(f"= `{each.row.figure}`")
         stretches = [own.slope.stretch(own.feed.at) for own in each.figures if own.slope]
--- a/plumtrestle/capacity/rows.py
+++ b/plumtrestle/capacity/rows.py
@@ -41,12 +41,13 @@
     event: str
     what: str
     kind: Kind
-    figure: str
     file: str  # of the mechanism
+    figure: str = ""
     budget: str = ""  # by name; none was given where empty
     unit: str = ""  # of the figure where no budget says it
     note: str = ""
-    missing: str = ""  # why there is no mechanism; shown where nothing was measured of one
+    before: str = ""  # what there was until this mechanism
+    missing: str = ""  # why there is no mechanism
 
 
 class Absent(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -105,6 +106,8 @@
         raise TableError(f"{path.name}: {fault}") from None
     for row in table.row:
         unknown = names_in(row.figure) - set(table.feed) - set(table.given)
+        if bool(row.figure) is bool(row.missing):
+            raise TableError(f"{row.role}, {row.what}: either a figure or why it is missing")
         if unknown or (row.budget and row.budget not in table.budget):
             raise TableError(f"{row.role}, {row.what}: unknown {', '.join(sorted(unknown)) or row.budget}")
     return table
@@ -117,13 +120,13 @@
     for row in table.row:
         budget = table.budget.get(row.budget)
         unit = row.unit or (budget.unit if budget else "")
+        if row.missing:
+            filled.append(Filled(row, budget, None, unit, "missing", ()))
+            continue
         try:
             figures = _figures(row, table, runs)
         except NotMeasured as why:
-            if row.missing:
-                filled.append(Filled(row, budget, None, unit, "missing", ()))
-            else:
-                unfilled.append(Unfilled(row, str(why)))
+            unfilled.append(Unfilled(row, str(why)))
             continue
         known = table.given | {name: each.value for name, each in figures.items()}
         value = evaluated(row.figure, known)
@@ -169,6 +172,8 @@
 
 def names_in(expression: str) -> set[str]:
     """The feeds and given figures that an expression needs."""
+    if not expression:
+        return set()
     names = {each.id for each in ast.walk(ast.parse(expression, mode="eval")) if isinstance(each, ast.Name)}
     return names - set(_CALLS)
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -6,6 +6,7 @@
 import re
 from pathlib import Path
 
+import msgspec
 import pytest
 
 from plumtrestle.capacity.__main__ import PAGE
@@ -35,10 +36,9 @@
     return Run(name, f"make {name}", "0000000", "2026-01-01T00:00Z", "1 cores", samples, valid)
 
 
-def table(
-    figure: str = "cost", missing: str = "", feed: str = "member.cost | rest | mean | virtual"
-) -> Table:
-    row = Row("member", "peace", "its cost", "time", figure, "micadeck/members.py", "cost", missing=missing)
+def table(figure: str = "cost", missing: str = "", before: str = "") -> Table:
+    own = {"figure": figure, "budget": "cost", "missing": missing, "before": before}
+    row = Row("member", "peace", "its cost", "time", "micadeck/members.py", **own)
     budget = {"cost": Budget(100.0, "B/s", "somebody")}
     return Table({"sidecars": 750.0, "calls_per_s": 7_500.0}, budget, {"cost": COST}, [row], [])
 
@@ -184,14 +184,22 @@
     assert (filled.how, filled.ends) == ("worked out", None)
 
 
-def test_without_a_mechanism_a_row_is_missing_until_one_was_measured() -> None:
-    (filled,), _ = fill(table(missing="nobody does it"), [])
+def test_without_a_mechanism_a_row_is_missing_and_stands_first_at_the_end() -> None:
+    given = whole(table("", missing="nobody does it"))
+    runs = [run(grown("flat", 500.0, 0.0))]
+    (filled,), _ = fill(given, runs)
     assert (filled.how, filled.value, filled.ratio) == ("missing", None, None)
-    page = render(whole(table(missing="nobody does it")), [])
-    assert "| missing | member | peace | its cost | 100 B/s |  | somebody |" in page
-    page = render(whole(table(missing="nobody does it")), [run(grown("flat", 10.0, 0.0))])
-    assert "before: nobody does it" in page
-    assert "Nothing.\n" in page
+    over = render(msgspec.structs.replace(given, row=[*table().row, *given.row]), runs)
+    first, second = over.rstrip().splitlines()[-2:]
+    assert first == "| missing | member | peace | its cost | 100 B/s |  | somebody |"
+    assert second == "| 5 | member | peace | its cost | 100 B/s | 500 B/s | somebody |"
+    assert "nobody does it" in over
+
+
+def test_what_there_was_before_stands_with_the_row() -> None:
+    given = whole(table(before="nobody did it"))
+    assert "before: nobody did it" in render(given, [run(grown("flat", 10.0, 0.0))])
+    assert "(member.cost, rest, mean, virtual: no sample of it)" in render(given, [])
 
 
 def test_a_budget_may_be_a_least() -> None:
@@ -215,6 +223,9 @@
     path.write_text(text)
     with pytest.raises(TableError, match="added_nothing"):
         read_table(path)
+    path.write_text(TABLE.read_text().replace('figure = "added_median"', ""))
+    with pytest.raises(TableError, match="either a figure or why"):
+        read_table(path)
 
 
 @pytest.mark.parametrize(
