--- a/plumtrestle/report/plots.py
+++ b/plumtrestle/report/plots.py
@@ -67,6 +67,7 @@
 
 
 _SNAPSHOTS = 8
+_MOST_INSIDE = 5  # lines named within the axes; the names of more stand beside them
 _BELIEF_COLOURS = {"p": "#2f7d4f", "s": "#e0a030", "?": "#d9d9d9", "l": "#7a8ca8", "d": "#a5251c"}
 
 
@@ -110,17 +111,21 @@
     named: dict[str, list[tuple[float, float]]], x_label: str, y_label: str, is_log: bool = False
 ) -> str:
     """Lines through points, one for each name."""
-    figure = Figure(figsize=(7.0, 3.4), layout="constrained")
+    width = 9.5 if len(named) > _MOST_INSIDE else 7.0
+    figure = Figure(figsize=(width, 3.4), layout="constrained")
     own = figure.subplots()
     for place, (name, points) in enumerate(named.items()):
         colour = COLOURS[place % len(COLOURS)]
-        own.plot(*zip(*sorted(points), strict=True), "o-", color=colour, lw=1.2, ms=3.5, label=name)
+        style = "o-" if place < len(COLOURS) else "s--"  # a colour that stands twice
+        own.plot(*zip(*sorted(points), strict=True), style, color=colour, lw=1.2, ms=3.5, label=name)
     if is_log:
         own.set_xscale("log")
     own.set_ylim(bottom=0)
     own.set_xlabel(x_label)
     own.set_ylabel(y_label)
-    if len(named) > 1:
+    if len(named) > _MOST_INSIDE:
+        figure.legend(loc="outside right upper", frameon=False)
+    elif len(named) > 1:
         own.legend(frameon=False)
     return _svg(figure)
 
