--- a/bench/startup.py
+++ b/bench/startup.py
@@ -180,15 +180,22 @@
 def tier(members: int) -> dict[str, Any]:
     """A configuration's part: a tier of so many, of which none but this one is there."""
     peers = [f"127.{64 + each // 250}.0.{1 + each % 250}:{PEER_PORT}" for each in range(members)]
-    own = free_ports(1)[0]
+    own = f"127.63.0.1:{_free_udp_port('127.63.0.1')}"
     return {
-        "peers": [f"{HOST}:{own}", *peers[1:]],
-        "peer_listen": f"{HOST}:{own}",
+        "peers": [own, *peers[1:]],
+        "peer_listen": own,
         "membership": {"on": True},
         "settings": {"me": 0, "groupSize": members, "bounds": {**SETTINGS["bounds"], "mayTell": True}},
     }
 
 
+def _free_udp_port(host: str) -> int:
+    """A port for datagrams that nobody has now; a port that is free for connections may be taken for them."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as held:
+        held.bind((host, 0))
+        return int(held.getsockname()[1])
+
+
 def asked(port: int) -> bytes:
     """The operators' figures, as the door gives them."""
     with socket.create_connection((HOST, port), timeout=5.0) as own:
