--- a/micadeck/members.py
+++ b/micadeck/members.py
@@ -11,7 +11,7 @@
 import time
 from collections.abc import Callable
 
-from micadeck.clock import Clock
+from micadeck.clock import Alarm, Clock
 from micadeck.peers import Peers
 from micadeck.tier.membership import Membership
 from micadeck.tier.message import State
@@ -45,7 +45,7 @@
         self._me, self._tier = me, tier
         self._random = random.Random(f"members {seed}")
         self._clock, self._peers, self._log, self._on_size = clock, peers, log, on_size
-        self._timer: asyncio.TimerHandle | None = None
+        self._alarm = Alarm(clock, self._tick)
         self._changes: list[str] = []
         self._unnamed = 0  # changes beyond those that one line names
         self._saying: asyncio.TimerHandle | None = None
@@ -73,15 +73,14 @@
     def leave(self, has_successor: bool = False) -> None:
         """This process ends: say so, unless another goes on in its place."""
         membership, self.membership = self.membership, None
-        if self._timer is not None:
-            self._timer.cancel()
+        self._alarm.cancel()
         if membership is not None:
             self._carry_out(membership.leave(self._clock.now(), has_successor))
 
     def close(self) -> None:
-        for timer in (self._timer, self._saying):
-            if timer is not None:
-                timer.cancel()
+        self._alarm.cancel()
+        if self._saying is not None:
+            self._saying.cancel()
 
     def figures(self) -> dict[str, object] | None:
         """What operators see of it; None while it is off."""
@@ -120,7 +119,6 @@
         }
 
     def _tick(self) -> None:
-        self._timer = None
         self._play(Membership.tick)
 
     def _play(self, event: Callable[[Membership, int], list[Action]]) -> None:
@@ -134,8 +132,8 @@
             self._carry_out(event(membership, now))
         except Exception as fault:
             self._log(f"internal error: {fault!r} (membership)")
-            if self._timer is None:
-                self._wake_at(now + _AGAIN_US)
+            if not self._alarm.is_set:
+                self._alarm.at(now + _AGAIN_US)
 
     def _carry_out(self, actions: list[Action]) -> None:
         for action in actions:
@@ -143,7 +141,7 @@
                 case Datagram():
                     self._peers.tell(action.receiver, action.payload)
                 case Wake():
-                    self._wake_at(action.at)
+                    self._alarm.at(action.at)
                 case News():
                     self._changed(f"{action.member} {action.state.name.lower()} (by {action.by})")
                 case Doubled():
@@ -153,12 +151,6 @@
         if self.membership is not None and self._informs:
             self._on_size(self.membership.size())
 
-    def _wake_at(self, at: int) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-        wait_s = max((at - self._clock.now()) / 1e6, 0.001)  # a timer that is due at once must not spin
-        self._timer = asyncio.get_running_loop().call_later(wait_s, self._tick)
-
     # The log
 
     def _changed(self, what: str) -> None:
--- a/micadeck/rollout.py
+++ b/micadeck/rollout.py
@@ -5,11 +5,10 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 from collections.abc import Callable
 
-from micadeck.clock import Clock
+from micadeck.clock import Alarm, Clock
 from micadeck.config import Config
 from micadeck.peers import Peers
 from micadeck.tier.answer import Ambiguous, Answer, Forgotten, Look, Missing, Settled, Step
@@ -44,7 +43,7 @@
         self._me, self._tier = me, tier
         self._random = random.Random(f"rollout {seed}")
         self._clock, self._peers, self._log, self._look = clock, peers, log, look
-        self._timer: asyncio.TimerHandle | None = None
+        self._alarm = Alarm(clock, self._tick)
         self._lines, self._lines_at = _LINES_AT_ONCE, clock.now()
 
     @property
@@ -94,9 +93,7 @@
     def close(self) -> None:
         """Compare no more, and hold no timer."""
         self._rollout = self._table = None
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+        self._alarm.cancel()
 
     def figures(self) -> dict[str, object] | None:
         """What operators see of it; None while it is off."""
@@ -128,7 +125,6 @@
         }
 
     def _tick(self) -> None:
-        self._timer = None
         self._play(Rollout.tick)
 
     def _play(self, event: Callable[[Rollout, int], list[Step]]) -> None:
@@ -140,8 +136,8 @@
             self._carry_out(event(rollout, now))
         except Exception as fault:
             self._log(f"internal error: {fault!r} (versions)")
-            if self._timer is None:
-                self._wake_at(now + _AGAIN_US)
+            if not self._alarm.is_set:
+                self._alarm.at(now + _AGAIN_US)
 
     def _carry_out(self, steps: list[Step]) -> None:
         for each in steps:
@@ -149,18 +145,12 @@
                 case Datagram():
                     self._peers.tell(each.receiver, each.payload)
                 case Wake():
-                    self._wake_at(each.at)
+                    self._alarm.at(each.at)
                 case Look():
                     self._look()
                 case Settled() | Ambiguous() | Missing() | Forgotten():
                     self._say(each)
 
-    def _wake_at(self, at: int) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-        wait_s = max((at - self._clock.now()) / 1e6, 0.001)  # a timer that is due at once must not spin
-        self._timer = asyncio.get_running_loop().call_later(wait_s, self._tick)
-
     def _say(self, what: Settled | Ambiguous | Missing | Forgotten) -> None:
         now = self._clock.now()
         passed_s, self._lines_at = (now - self._lines_at) / 1e6, now
