--- a/bench/startup.py
+++ b/bench/startup.py
@@ -149,7 +149,7 @@
                     "rest": configuration(*found),
                     "293/s": configuration(*found),
                     "discovery down": configuration(unanswering.down, found[1]),
-                    "members dead": configuration(*found, **tier(size)),
+                    "members silent": configuration(*found, **tier(size)),
                 }
                 for case, given in cases.items():
                     started = stack.enter_context(sidecar(folder / f"{case}-{size}", given))
