--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -1264,11 +1264,11 @@
             warm = [each for each in self._ready if not self._is_cold(each)]
             peers = warm or self._ready  # ejected ones too: they served a part of what is counted
             served = self._served_warm if warm else self._arrivals
-            bearable = served.per_us(self._now) / max(min(len(peers), self._reach()), 1)
-            # Or an even part of what is sent: a new balancer has seen none serve, and warm ones that drown
-            # serve little.  At most twice that: what the cold served before is counted for a while.
+            self._bearable = served.per_us(self._now) / max(min(len(peers), self._reach()), 1)
+            # Warm servers that drown serve little, and a new balancer has seen none serve: an even part of
+            # what is sent is no less bearable, or the cold would starve while the warm drown.
             even = self._sent.per_us(self._now) / max(min(len(self._ready), self._reach()), 1)
-            self._bearable = max(min(bearable, 2.0 * even), even) if warm else bearable
+            self._bearable = max(self._bearable, even)
             self._mean_size = sum(each.nominal for each in peers) / max(len(peers), 1)
         return self._bearable
 
