Apply what the other process recorded when a call changes the exclusions

What callers saw: operators exclude one server at the old process of an upgrade and, within 0.1 s, another one at the new process.

Cause: PersistedExclusions.record read the file, merged its own server, replaced the file and remembered the new file as seen, but the caller applied only its own server. So the other process's change was never applied, and polls found nothing new.

Evidence: the new process's log has no "excluded s-0" until the file changes again at the next upgrade, 12 s later; the old process logs both.

Change: record returns all servers that the file excludes, and ServerExclusions applies them all. A file counts as seen only in check, after its content was applied. If an event dispatched meanwhile checks the file again, the newer content replaces the older for the remaining servers.

--- a/sidecar/administration.py
+++ b/sidecar/administration.py
@@ -30,22 +30,26 @@
         self._upstream = upstream
         self._persisted = persisted
         self._dispatch = dispatch
+        self._target: frozenset[str] = frozenset()  # the servers to exclude, by the last call of `_apply`
 
     def restore(self, *, watch: bool) -> None:
         """Apply the persisted exclusions; with `watch`, also later changes that another process makes."""
         if self._persisted is None:
             return
-        self._apply_all(self._persisted.read() or frozenset())
         if watch:
-            self._persisted.watch(self._apply_all)
+            self._persisted.watch(self._apply)
+        else:
+            self._apply(self._persisted.read() or frozenset())
 
     def set_excluded(self, server: str, *, is_excluded: bool) -> bool:
         """Exclude or include a server; return False if it was never in an endpoint list."""
         if not self._balancer.knows_endpoint(server):
             return False
+        known = self._upstream.excluded
         if self._persisted is not None:
-            self._persisted.record(server, self._upstream.excluded, is_excluded=is_excluded)
-        self._apply(server, is_excluded=is_excluded)
+            self._apply(self._persisted.record(server, known, is_excluded=is_excluded))
+        else:
+            self._apply(known | {server} if is_excluded else known - {server})
         return True
 
     def close(self) -> None:
@@ -53,17 +57,21 @@
         if self._persisted is not None:
             self._persisted.close()
 
-    def _apply(self, server: str, *, is_excluded: bool) -> None:
-        if is_excluded:
-            self._upstream.exclude(server)
-            self._dispatch(EndpointExcluded(server))
-        else:
-            self._upstream.include(server)
-            self._dispatch(EndpointIncluded(server))
-
-    def _apply_all(self, excluded: frozenset[str]) -> None:
-        for server in sorted(self._upstream.excluded ^ excluded):
-            self._apply(server, is_excluded=server in excluded)
+    def _apply(self, excluded: frozenset[str]) -> None:
+        """Exclude these servers and no others.
+
+        A dispatched event may write an attempt, before which the file is checked: such a nested call is the
+        more recent one, and replaces `excluded` for the remaining servers too.
+        """
+        self._target = excluded
+        while differences := self._upstream.excluded ^ self._target:
+            server = min(differences)
+            if server in self._target:
+                self._upstream.exclude(server)
+                self._dispatch(EndpointExcluded(server))
+            else:
+                self._upstream.include(server)
+                self._dispatch(EndpointIncluded(server))
 
 
 class Administration:
--- a/sidecar/persisted_exclusions.py
+++ b/sidecar/persisted_exclusions.py
@@ -3,7 +3,7 @@
 During a hot restart two processes of a sidecar run for some seconds, and share their exclusions by this file:
 the process that receives an admin request updates the file under a lock, and both poll it.  The file is
 replaced atomically, so readers see either the old or the new content even if the writer is killed.  The
-caller applies exclusions to connections and to the balancer.
+caller applies exclusions to connections and to the balancer; only content that it has applied counts as seen.
 """
 
 from __future__ import annotations
@@ -13,6 +13,7 @@
 import json
 import os
 from collections.abc import Callable
+from dataclasses import dataclass
 from pathlib import Path
 
 from sidecar.errors import SidecarError
@@ -28,6 +29,26 @@
     """The content of the file of excluded servers is invalid."""
 
 
+@dataclass(frozen=True, slots=True)
+class _FileIdentity:
+    """Distinguishes a file from the one that replaces it."""
+
+    inode: int
+    modified_ns: int
+
+    @classmethod
+    def of(cls, status: os.stat_result) -> _FileIdentity:
+        return cls(status.st_ino, status.st_mtime_ns)
+
+
+@dataclass(frozen=True, slots=True)
+class _StoredExclusions:
+    """What a file holds."""
+
+    file: _FileIdentity
+    servers: frozenset[str] | None  # None: the content is invalid
+
+
 class PersistedExclusions:
     """The file of excluded servers, which the processes of a sidecar share."""
 
@@ -35,50 +56,53 @@
         """The `directory` is shared by all processes of this sidecar."""
         self._path = directory / _FILE_NAME
         self._log = log
-        self._last_read: tuple[int, int] | None = None  # identity of the last file read or written
+        self._last_applied: _FileIdentity | None = None
         self._poll_timer: asyncio.TimerHandle | None = None
         self._on_change: Callable[[frozenset[str]], None] | None = None
 
     def read(self) -> frozenset[str] | None:
         """Return the excluded servers; None if there is no file, or if it is invalid (which is logged)."""
-        try:
-            with open(self._path, "rb", opener=_open_without_blocking) as file:
-                self._last_read = _file_identity(os.fstat(file.fileno()))
-                content = json.loads(file.read(_MAX_FILE_BYTES))
-            return frozenset(_decode_servers(content))
-        except FileNotFoundError:
-            return None
-        except (OSError, ValueError, RecursionError, ExclusionsFileError) as error:
-            self._log(ExclusionsFileIgnored(str(error)))
-            return None
+        stored = self._load()
+        return None if stored is None else stored.servers
 
-    def record(self, server: str, known_exclusions: frozenset[str], *, is_excluded: bool) -> None:
+    def record(self, server: str, known_exclusions: frozenset[str], *, is_excluded: bool) -> frozenset[str]:
         """Add a server to the file or remove it; a failure to write is logged.
 
         `known_exclusions` are the excluded servers that this process knows of.  They replace the content of a
         file that is missing or invalid.
+
+        Returns:
+            All excluded servers, which the caller has to apply: another process may have changed the file
+            since `on_change` was last called.
         """
+        excluded = _with_change(known_exclusions, server, is_excluded=is_excluded)
         try:
             lock_path = self._path.with_suffix(".lock")
             with open(lock_path, "wb", opener=_open_without_blocking) as lock_file:
                 fcntl.flock(lock_file, fcntl.LOCK_EX)  # held for one read and one write
                 stored = self.read()
-                excluded = known_exclusions if stored is None else stored
-                self._replace(excluded | {server} if is_excluded else excluded - {server})
+                if stored is not None:
+                    excluded = _with_change(stored, server, is_excluded=is_excluded)
+                self._replace(excluded)
         except OSError as error:
             self._log(ExclusionsFileNotWritten(str(error)))
+        return excluded
 
     def watch(self, on_change: Callable[[frozenset[str]], None]) -> None:
-        """Poll for changes by another process, and call `on_change` with all excluded servers after each."""
+        """Call `on_change` with all excluded servers, now and after each change of the file."""
         self._on_change = on_change
         self._poll()
 
     def check(self) -> None:
-        """Check now for a change by another process; does nothing unless `watch` was called."""
-        if self._on_change is not None and self._has_changed():
-            excluded = self.read()
-            if excluded is not None:
-                self._on_change(excluded)
+        """Check now whether the file has changed; does nothing unless `watch` was called."""
+        if self._on_change is None or not self._has_changed():
+            return
+        stored = self._load()
+        if stored is None:
+            return
+        if stored.servers is not None:
+            self._on_change(stored.servers)
+        self._last_applied = stored.file
 
     def close(self) -> None:
         """Stop polling."""
@@ -91,28 +115,45 @@
 
     def _has_changed(self) -> bool:
         try:
-            return _file_identity(self._path.stat()) != self._last_read
+            return _FileIdentity.of(self._path.stat()) != self._last_applied
         except OSError:
             return False
 
+    def _load(self) -> _StoredExclusions | None:
+        """Return the content; None if there is no file, or if it can't be read (which is logged)."""
+        try:
+            with open(self._path, "rb", opener=_open_without_blocking) as file:
+                identity = _FileIdentity.of(os.fstat(file.fileno()))
+                content = file.read(_MAX_FILE_BYTES)
+        except FileNotFoundError:
+            return None
+        except OSError as error:
+            self._log(ExclusionsFileIgnored(str(error)))
+            return None
+        try:
+            return _StoredExclusions(identity, _decode_servers(content))
+        except (ValueError, RecursionError, ExclusionsFileError) as error:
+            self._log(ExclusionsFileIgnored(str(error)))
+            return _StoredExclusions(identity, None)
+
     def _replace(self, excluded: frozenset[str]) -> None:
         new_file = self._path.with_suffix(f".{os.getpid()}")
         new_file.write_text(json.dumps({"excluded": sorted(excluded)}))
-        self._last_read = _file_identity(new_file.stat())
         new_file.replace(self._path)
 
 
+def _with_change(excluded: frozenset[str], server: str, *, is_excluded: bool) -> frozenset[str]:
+    return excluded | {server} if is_excluded else excluded - {server}
+
+
 def _open_without_blocking(path: str, flags: int) -> int:
     """Open a file in non-blocking mode: opening a named pipe in its place could block forever otherwise."""
     return os.open(path, flags | os.O_NONBLOCK, _FILE_MODE)
 
 
-def _file_identity(status: os.stat_result) -> tuple[int, int]:
-    return status.st_ino, status.st_mtime_ns
-
-
-def _decode_servers(content: object) -> list[str]:
-    servers = content.get("excluded") if isinstance(content, dict) else None
+def _decode_servers(content: bytes) -> frozenset[str]:
+    document = json.loads(content)
+    servers = document.get("excluded") if isinstance(document, dict) else None
     if not isinstance(servers, list) or not all(isinstance(server, str) and server for server in servers):
         raise ExclusionsFileError('the file must hold an object whose key "excluded" is a list of server ids')
-    return servers
+    return frozenset(servers)
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -9,7 +9,7 @@
 import signal
 import socket
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, closing
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -110,6 +110,30 @@
                 server.stop()
 
 
+@asynccontextmanager
+async def two_sidecars(directory: Path) -> AsyncIterator[tuple[Sidecar, Sidecar]]:
+    """Run the components of two processes of one sidecar, as in a hot restart, in this process."""
+    servers = [endpoint_entry(f"s-{index}", f"{HOST}:9") for index in range(3)]
+    known = {"version": 1, "full": True, "servers": servers}
+    document = {**VALID_CONFIGURATION, "known": known, "console": f"{HOST}:0"}
+    configuration = parse(document, {"TMPDIR": str(directory)})
+    with socket.socket() as listener:
+        listener.bind((HOST, 0))
+        listener.listen(64)
+        old, new = (
+            Sidecar(configuration, print, listener_from_descriptor(os.dup(listener.fileno())))
+            for _ in range(2)
+        )
+        with closing(old), closing(new):
+            await old.start()
+            await new.start()
+            yield old, new
+
+
+def excluded_servers(sidecar: Sidecar) -> frozenset[str]:
+    return sidecar._upstream.excluded
+
+
 def test_old_process_completes_its_requests_and_new_one_accepts(tmp_path: Path) -> None:
     async def main() -> None:
         release = asyncio.Event()
@@ -168,6 +192,25 @@
     run_async(main)
 
 
+def test_calls_at_both_processes_at_once_hold_in_both(tmp_path: Path) -> None:
+    # Guards against a process that misses the change of the other, because it wrote the file right after it.
+    async def main() -> None:
+        async with two_sidecars(tmp_path) as (old, new):
+            # Neither process polls the file between its own call and the other's.
+            assert old.administration.exclude("s-0")
+            assert new.administration.exclude("s-1")
+            assert excluded_servers(new) == {"s-0", "s-1"}
+            await wait_until(lambda: excluded_servers(old) == {"s-0", "s-1"})
+            assert new.administration.metrics()["members_unavailable"] == 2  # in the balancer as well
+            assert new.administration.include("s-0")
+            assert old.administration.exclude("s-2")
+            assert excluded_servers(old) == {"s-1", "s-2"}
+            await wait_until(lambda: excluded_servers(new) == {"s-1", "s-2"})
+            assert old.administration.metrics()["members_unavailable"] == 2
+
+    run_async(main)
+
+
 def test_descriptor_that_is_no_listening_socket_exits_with_2(tmp_path: Path) -> None:
     async def main() -> None:
         (tmp_path / "config.json").write_text(json.dumps(VALID_CONFIGURATION))
