Keep an exclusion that could not be written when the other process records one

What callers would see: operators exclude a server while the file of exclusions can't be written (as in a full $TMPDIR); the call gets 200 and the server is excluded. A later call at the other process of an upgrade rewrites the file, and the server gets requests again though nobody called include. Found by looking for paths on which a recorded change and the state in force differ; not seen in service.

Cause: a process follows the whole content of the file, and forgot that one of its own changes had never got into it.

Change: PersistedExclusions keeps changes that it could not write, adds them to what it reads, and writes them along with its next change.

--- a/sidecar/persisted_exclusions.py
+++ b/sidecar/persisted_exclusions.py
@@ -57,6 +57,7 @@
         self._path = directory / _FILE_NAME
         self._log = log
         self._last_applied: _FileIdentity | None = None
+        self._unwritten: dict[str, bool] = {}  # changes that could not be written: server, is it excluded
         self._poll_timer: asyncio.TimerHandle | None = None
         self._on_change: Callable[[frozenset[str]], None] | None = None
 
@@ -68,6 +69,7 @@
     def record(self, server: str, known_exclusions: frozenset[str], *, is_excluded: bool) -> frozenset[str]:
         """Add a server to the file or remove it; a failure to write is logged.
 
+        A change that could not be written holds in this process only, and is written along with its next one.
         `known_exclusions` are the excluded servers that this process knows of.  They replace the content of a
         file that is missing or invalid.
 
@@ -75,15 +77,17 @@
             All excluded servers, which the caller has to apply: another process may have changed the file
             since `on_change` was last called.
         """
-        excluded = _with_change(known_exclusions, server, is_excluded=is_excluded)
+        self._unwritten[server] = is_excluded
+        excluded = self._with_unwritten(known_exclusions)
         try:
             lock_path = self._path.with_suffix(".lock")
             with open(lock_path, "wb", opener=_open_without_blocking) as lock_file:
                 fcntl.flock(lock_file, fcntl.LOCK_EX)  # held for one read and one write
                 stored = self.read()
                 if stored is not None:
-                    excluded = _with_change(stored, server, is_excluded=is_excluded)
+                    excluded = self._with_unwritten(stored)
                 self._replace(excluded)
+                self._unwritten.clear()
         except OSError as error:
             self._log(ExclusionsFileNotWritten(str(error)))
         return excluded
@@ -101,7 +105,7 @@
         if stored is None:
             return
         if stored.servers is not None:
-            self._on_change(stored.servers)
+            self._on_change(self._with_unwritten(stored.servers))
         self._last_applied = stored.file
 
     def close(self) -> None:
@@ -136,16 +140,17 @@
             self._log(ExclusionsFileIgnored(str(error)))
             return _StoredExclusions(identity, None)
 
+    def _with_unwritten(self, excluded: frozenset[str]) -> frozenset[str]:
+        """Return `excluded` with the changes that could not be written."""
+        kept = {server for server in excluded if server not in self._unwritten}
+        return frozenset(kept | {server for server, is_excluded in self._unwritten.items() if is_excluded})
+
     def _replace(self, excluded: frozenset[str]) -> None:
         new_file = self._path.with_suffix(f".{os.getpid()}")
         new_file.write_text(json.dumps({"excluded": sorted(excluded)}))
         new_file.replace(self._path)
 
 
-def _with_change(excluded: frozenset[str], server: str, *, is_excluded: bool) -> frozenset[str]:
-    return excluded | {server} if is_excluded else excluded - {server}
-
-
 def _open_without_blocking(path: str, flags: int) -> int:
     """Open a file in non-blocking mode: opening a named pipe in its place could block forever otherwise."""
     return os.open(path, flags | os.O_NONBLOCK, _FILE_MODE)
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -211,6 +211,27 @@
     run_async(main)
 
 
+def test_exclusion_that_could_not_be_written_outlasts_a_change_by_the_other_process(tmp_path: Path) -> None:
+    # Guards against a process that includes a server again, because the file that it follows never had it.
+    async def main() -> None:
+        async with two_sidecars(tmp_path) as (old, new):
+            lock_path = tmp_path / "excluded.lock"
+            lock_path.mkdir()  # can't be opened for writing
+            assert old.administration.exclude("s-0")
+            lock_path.rmdir()
+            assert new.administration.exclude("s-1")
+            await wait_until(lambda: "s-1" in excluded_servers(old))
+            assert excluded_servers(old) == {"s-0", "s-1"}
+            assert old.administration.exclude(
+                "s-2"
+            )  # a change that can be written writes the earlier one, too
+            await wait_until(lambda: excluded_servers(new) == {"s-0", "s-1", "s-2"})
+            assert new.administration.include("s-0")
+            await wait_until(lambda: excluded_servers(old) == {"s-1", "s-2"})
+
+    run_async(main)
+
+
 def test_descriptor_that_is_no_listening_socket_exits_with_2(tmp_path: Path) -> None:
     async def main() -> None:
         (tmp_path / "config.json").write_text(json.dumps(VALID_CONFIGURATION))
