Serve a request whose head is arriving when a shutdown begins

Cause: DownstreamConnection.is_idle asked for a pending request, a complete head and unread bytes in the socket, but not for the part of a head that the reader holds, so Downstream.close_idle closed such connections.

Change: a connection on which any part of a request has arrived is not idle. time_out, which asked the reader already, uses the same property.

--- a/sidecar/downstream/connection.py
+++ b/sidecar/downstream/connection.py
@@ -138,10 +138,10 @@
             self._owner.await_client(self)
         elif self._is_reading_ended or self._is_writing_paused:
             self.abort()
-        elif self._head is None and self._reader.is_idle:
-            self.close_unused()
-        else:
+        elif self._is_request_arriving:
             self._reject(408)
+        else:
+            self.close_unused()
 
     def _reject(self, status: int, reason: bytes = b"") -> None:
         """Reject an invalid request and end the connection, so that nothing after it is read as a request."""
@@ -156,11 +156,16 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether closing the connection now loses no request, not even one unread in the socket."""
-        if self._pending_request is not None or self._head is not None or self._is_reading_ended:
+        """Whether closing the connection now loses no request: none is pending, arriving or unread."""
+        if self._pending_request is not None or self._is_reading_ended or self._is_request_arriving:
             return False
         return self._socket is not None and self._socket.is_idle()
 
+    @property
+    def _is_request_arriving(self) -> bool:
+        """Whether some of a request was received, if only the first bytes of its head."""
+        return self._head is not None or not self._reader.is_idle
+
     @property
     def is_sending_body(self) -> bool:
         """Whether the client is sending a body of which nothing has been forwarded."""
