Reject requests that are incomplete when the response period of a shutdown ends

Cause: GracefulShutdown answers requests that were accepted, and gave up those that were still arriving without a word.

Change: they are rejected with 503, as no server has received anything of them, so a retry is safe.

--- a/sidecar/downstream/connection.py
+++ b/sidecar/downstream/connection.py
@@ -143,6 +143,11 @@
         else:
             self.close_unused()
 
+    def reject_incomplete_request(self) -> None:
+        """Reject a request that is arriving, unless it was accepted already, as one with a streamed body."""
+        if self.state is ConnectionState.READING and self._is_request_arriving and not self._is_reading_ended:
+            self._reject(503, b"the sidecar is shutting down\n")
+
     def _reject(self, status: int, reason: bytes = b"") -> None:
         """Reject an invalid request and end the connection, so that nothing after it is read as a request."""
         self._is_reading_ended = True
--- a/sidecar/downstream/downstream.py
+++ b/sidecar/downstream/downstream.py
@@ -95,6 +95,11 @@
             if connection.is_idle:
                 connection.close()
 
+    def reject_incomplete_requests(self) -> None:
+        """Reject the requests that have not arrived completely, of which no server has received anything."""
+        for connection in list(self._connections):
+            connection.reject_incomplete_request()
+
     @property
     def port(self) -> int:
         """The port on which clients are accepted."""
--- a/sidecar/graceful_shutdown.py
+++ b/sidecar/graceful_shutdown.py
@@ -60,6 +60,7 @@
         self._downstream.stop_listening(accept_queued=self._owns_listener)
         await self._wait_for_responses()
         self._answer_overdue_requests()
+        self._downstream.reject_incomplete_requests()
         await self._wait_for_streaming()
         await self._wait_for_clients_to_close()
 
--- a/tests/test_shutdown_connections.py
+++ b/tests/test_shutdown_connections.py
@@ -98,3 +98,31 @@
             assert await within_timeout(client.reader.read()) == b""
 
     run_async(work)
+
+
+@pytest.mark.parametrize("missing_bytes", [20, 20_000], ids=["head", "body"])
+def test_request_that_is_incomplete_at_the_end_of_a_shutdown_is_rejected(missing_bytes: int) -> None:
+    # Guards against ending the process, which resets the connection, on a client that is owed an answer.
+    async def work() -> None:
+        short_deadline = {
+            "name": "lodge",
+            "giveUpUs": 50_000,
+            "promiseUs": 50_000,
+            "repeat": "non_idempotent",
+        }
+        async with running_sidecar(OK, lanes=[short_deadline]) as harness:
+            client, downstream = await harness.client(), harness.sidecar.downstream
+            message = request_bytes("lodge", body=b"x" * (30_000 if missing_bytes > 20 else 0))
+            client.send(message[:-missing_bytes])
+            await wait_until(
+                lambda: [not connection._reader.is_idle for connection in downstream._connections] == [True]
+            )
+            shutdown = asyncio.create_task(harness.sidecar.shut_down())
+            response = await client.read_response()
+            assert (response.status, response.headers["connection"]) == (503, "close")
+            assert await within_timeout(client.reader.read()) == b""
+            client.close()
+            await within_timeout(shutdown)
+            assert harness.requests == []
+
+    run_async(work)
