Poll by one class in hot restart and persisted exclusions; plain names in bench

HotRestart and PersistedExclusions each had the same timer loop; both now use Poller. The command lines of bench/ call their parser and arguments so.

--- a/bench/decide.py
+++ b/bench/decide.py
@@ -191,17 +191,17 @@
 
 
 def main() -> None:
-    asks = argparse.ArgumentParser(prog="python -m bench.decide", description=__doc__)
-    asks.add_argument("what", choices=("decide", "list"))
-    asks.add_argument("--rounds", type=int, default=15)
-    asks.add_argument("--out", type=Path, default=FOLDER, help="folder for the data (default: %(default)s)")
-    given = asks.parse_args()
+    parser = argparse.ArgumentParser(prog="python -m bench.decide", description=__doc__)
+    parser.add_argument("what", choices=("decide", "list"))
+    parser.add_argument("--rounds", type=int, default=15)
+    parser.add_argument("--out", type=Path, default=FOLDER, help="folder for the data (default: %(default)s)")
+    arguments = parser.parse_args()
     restart_as_built("bench.decide")
-    found = decide(rounds=given.rounds) if given.what == "decide" else lists(rounds=given.rounds)
+    found = decide(rounds=arguments.rounds) if arguments.what == "decide" else lists(rounds=arguments.rounds)
     notes = f"A shared machine, where others ran meanwhile; decisions {how_built()}."
-    command = f"python -m bench.decide {given.what} --rounds {given.rounds}"
+    command = f"python -m bench.decide {arguments.what} --rounds {arguments.rounds}"
     show(found)
-    print(save(f"path-{given.what}", command, found, notes=notes, folder=given.out))
+    print(save(f"path-{arguments.what}", command, found, notes=notes, folder=arguments.out))
 
 
 if __name__ == "__main__":
--- a/bench/member.py
+++ b/bench/member.py
@@ -192,19 +192,19 @@
 
 
 def main() -> None:
-    asks = argparse.ArgumentParser(prog="python -m bench.member", description=__doc__)
-    asks.add_argument("--events", type=int, default=EVENTS)
-    asks.add_argument("--out", type=Path, default=FOLDER, help="folder for the data (default: %(default)s)")
-    given = asks.parse_args()
+    parser = argparse.ArgumentParser(prog="python -m bench.member", description=__doc__)
+    parser.add_argument("--events", type=int, default=EVENTS)
+    parser.add_argument("--out", type=Path, default=FOLDER, help="folder for the data (default: %(default)s)")
+    arguments = parser.parse_args()
     restart_as_built("bench.member")
     found: list[Sample] = []
     for size in SIZES:
         found.append(Sample("member.memory", size, memory_mb(size), "MB"))
-        found += [*times(size, given.events), *figures(size)]
+        found += [*times(size, arguments.events), *figures(size)]
     show(found)
     notes = f"A shared machine, where others ran meanwhile; each event timed alone. Decisions {how_built()}."
-    command = f"python -m bench.member --events {given.events}"
-    print(save("path-member", command, found, notes=notes, folder=given.out))
+    command = f"python -m bench.member --events {arguments.events}"
+    print(save("path-member", command, found, notes=notes, folder=arguments.out))
 
 
 if __name__ == "__main__":
--- a/bench/path.py
+++ b/bench/path.py
@@ -248,34 +248,34 @@
 
 
 def main() -> None:
-    asks = argparse.ArgumentParser(prog="python -m bench.path", description=__doc__)
-    asks.add_argument("what", choices=("latency", "rates"))
-    asks.add_argument("--rounds", type=int, default=16)
-    asks.add_argument("--part", type=float, default=1.0, help="of the usual number of calls")
-    asks.add_argument("--out", type=Path, default=FOLDER, help="folder for the data (default: %(default)s)")
-    given = asks.parse_args()
+    parser = argparse.ArgumentParser(prog="python -m bench.path", description=__doc__)
+    parser.add_argument("what", choices=("latency", "rates"))
+    parser.add_argument("--rounds", type=int, default=16)
+    parser.add_argument("--part", type=float, default=1.0, help="of the usual number of calls")
+    parser.add_argument("--out", type=Path, default=FOLDER, help="folder for the data (default: %(default)s)")
+    arguments = parser.parse_args()
     if not is_compiled():
         print("the decisions are not compiled: run deploy/native.py first", file=sys.stderr)
-    sizes, rates = (SIZES, (MEAN, BUSIEST)) if given.what == "latency" else ((AT_RATES,), RATES)
-    found = measure(sizes, rates, given.rounds, given.part)
+    sizes, rates = (SIZES, (MEAN, BUSIEST)) if arguments.what == "latency" else ((AT_RATES,), RATES)
+    found = measure(sizes, rates, arguments.rounds, arguments.part)
     report(found)
     wrong = failures(found)
     left_out: list[str] = []
     kept = samples(found)
-    if given.what == "rates":
+    if arguments.what == "rates":
         kept = of_processor(kept)
     else:
         needed, left_out = lost(found)
         wrong += needed
     said = [f"not valid: {each}" for each in wrong] + [f"left out: {each}" for each in left_out]
     notes = (
-        f"{given.rounds} rounds on a shared machine, where others ran meanwhile; nothing is pinned to a core."
-        f" 880/s is an assumption for the busiest: three times the mean. Decisions"
+        f"{arguments.rounds} rounds on a shared machine, where others ran meanwhile; nothing is pinned"
+        f" to a core. 880/s is an assumption for the busiest: three times the mean. Decisions"
         f" {'compiled' if is_compiled() else 'not compiled'}. {'; '.join(said)}"
     ).strip()
-    command = f"python -m bench.path {given.what} --rounds {given.rounds} --part {given.part:g}"
-    name = f"path-{given.what}"
-    print(save(name, command, kept, valid=not wrong, notes=notes, folder=given.out))
+    command = f"python -m bench.path {arguments.what} --rounds {arguments.rounds} --part {arguments.part:g}"
+    name = f"path-{arguments.what}"
+    print(save(name, command, kept, valid=not wrong, notes=notes, folder=arguments.out))
     for each in said:
         print(each, file=sys.stderr)
 
--- a/bench/stages.py
+++ b/bench/stages.py
@@ -152,19 +152,19 @@
 
 
 def main() -> None:
-    asks = argparse.ArgumentParser(prog="python -m bench.stages", description=__doc__)
-    asks.add_argument("--rounds", type=int, default=12)
-    asks.add_argument("--out", type=Path, default=FOLDER, help="folder for the data (default: %(default)s)")
-    given = asks.parse_args()
+    parser = argparse.ArgumentParser(prog="python -m bench.stages", description=__doc__)
+    parser.add_argument("--rounds", type=int, default=12)
+    parser.add_argument("--out", type=Path, default=FOLDER, help="folder for the data (default: %(default)s)")
+    arguments = parser.parse_args()
     restart_as_built("bench.stages")
-    found = measure(given.rounds)
+    found = measure(arguments.rounds)
     report(found)
     notes = (
         f"A shared machine, where others ran meanwhile; {SERVERS} servers; decisions {how_built()}."
         " kernel: by the system's ticks, so rough."
     )
-    command = f"python -m bench.stages --rounds {given.rounds}"
-    print(save("path-stages", command, found, notes=notes, folder=given.out))
+    command = f"python -m bench.stages --rounds {arguments.rounds}"
+    print(save("path-stages", command, found, notes=notes, folder=arguments.out))
 
 
 if __name__ == "__main__":
--- a/bench/startup.py
+++ b/bench/startup.py
@@ -240,21 +240,21 @@
 
 def main() -> None:
     kinds = {"ready": ready, "memory": memory, "log": log, "telemetry": telemetry}
-    asks = argparse.ArgumentParser(prog="python -m bench.startup", description=__doc__)
-    asks.add_argument("what", choices=tuple(kinds))
-    asks.add_argument("--out", type=Path, default=FOLDER, help="folder for the data (default: %(default)s)")
-    given = asks.parse_args()
+    parser = argparse.ArgumentParser(prog="python -m bench.startup", description=__doc__)
+    parser.add_argument("what", choices=tuple(kinds))
+    parser.add_argument("--out", type=Path, default=FOLDER, help="folder for the data (default: %(default)s)")
+    arguments = parser.parse_args()
     with tempfile.TemporaryDirectory() as folder:
-        found = kinds[given.what](Path(folder))  # type: ignore[operator]
+        found = kinds[arguments.what](Path(folder))  # type: ignore[operator]
     show(found)
     notes = f"A shared machine, where others ran meanwhile; decisions {how_built()}."
     print(
         save(
-            f"path-{given.what}",
-            f"python -m bench.startup {given.what}",
+            f"path-{arguments.what}",
+            f"python -m bench.startup {arguments.what}",
             found,
             notes=notes,
-            folder=given.out,
+            folder=arguments.out,
         )
     )
 
--- a/sidecar/hot_restart.py
+++ b/sidecar/hot_restart.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from sidecar.poller import Poller
 from sidecar.process_lock import ProcessLock
 
 _RESERVED_SOCKETS = 48  # for uses other than clients, servers and the admin interface
@@ -41,7 +41,7 @@
     def __init__(self, process_lock: ProcessLock | None) -> None:
         """Without a process lock, this process is assumed to be the only one."""
         self._process_lock = process_lock
-        self._timer: asyncio.TimerHandle | None = None
+        self._poller = Poller(_POLL_INTERVAL_S, self._poll)
         self._on_change: Callable[[], None] = lambda: None
         self.is_only_process = not self.has_other_process()  # as of the last poll
 
@@ -53,17 +53,15 @@
         """Start polling; `on_change` is called after `is_only_process` has changed."""
         self._on_change = on_change
         if self._process_lock is not None:
-            self._poll()
+            self._poller.start()
 
     def close(self) -> None:
         """Stop polling and release the lock."""
-        if self._timer is not None:
-            self._timer.cancel()
+        self._poller.close()
         if self._process_lock is not None:
             self._process_lock.close()
 
     def _poll(self) -> None:
-        self._timer = asyncio.get_running_loop().call_later(_POLL_INTERVAL_S, self._poll)
         is_only_process = not self.has_other_process()
         if is_only_process != self.is_only_process:
             self.is_only_process = is_only_process
--- a/sidecar/persisted_exclusions.py
+++ b/sidecar/persisted_exclusions.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import fcntl
 import json
 import os
@@ -18,6 +17,7 @@
 
 from sidecar.errors import SidecarError
 from sidecar.log_events import EventLog, ExclusionsFileIgnored, ExclusionsFileNotWritten
+from sidecar.poller import Poller
 
 _FILE_NAME = "excluded.json"
 _MAX_FILE_BYTES = 1 << 20
@@ -58,7 +58,7 @@
         self._log = log
         self._last_applied: _FileIdentity | None = None
         self._unwritten: dict[str, bool] = {}  # changes that could not be written: server, is it excluded
-        self._poll_timer: asyncio.TimerHandle | None = None
+        self._poller = Poller(_POLL_INTERVAL_S, self.check)
         self._on_change: Callable[[frozenset[str]], None] | None = None
 
     def read(self) -> frozenset[str] | None:
@@ -95,7 +95,7 @@
     def watch(self, on_change: Callable[[frozenset[str]], None]) -> None:
         """Call `on_change` with all excluded servers, now and after each change of the file."""
         self._on_change = on_change
-        self._poll()
+        self._poller.start()
 
     def check(self) -> None:
         """Check now whether the file has changed; does nothing unless `watch` was called."""
@@ -110,12 +110,7 @@
 
     def close(self) -> None:
         """Stop polling."""
-        if self._poll_timer is not None:
-            self._poll_timer.cancel()
-
-    def _poll(self) -> None:
-        self._poll_timer = asyncio.get_running_loop().call_later(_POLL_INTERVAL_S, self._poll)
-        self.check()
+        self._poller.close()
 
     def _has_changed(self) -> bool:
         try:
