Review: case 7 with fewer clients that leave

Cause: eleven leaving clients a second beside ten requests a second were more than the case needs.

Change: five a second beside 23 requests a second. No code is changed.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -20,11 +20,11 @@
     settings,
 )
 
-RATE = 10.0  # requests a second of the client that stays
-LEAVING_RATE = 11.0
-LEAVING_S = 18.0
+RATE = 23.0  # requests a second of the client that stays
+LEAVING_RATE = 5.0
+LEAVING_S = 33.0
 SETTLE_S = 5.0
-WATCHED_S = 20.0
+WATCHED_S = 12.0
 BODY_TIMEOUT_S = 60.0  # after which a server ends a connection whose request does not go on
 LENGTH = 1 << 20
 SENT = 200 << 10
