Keep connections that ended at once out of the connection pool's table

Cause: the event loop may report the end of a connection before the coroutine that established it continues. ConnectionPool._connect then entered the dead connection into the table of open ones, from which nothing removed it, and each entry took a place of the limit. DiscoveryConnection started an exchange on such a connection, which never ended.

Change: a connection is entered only if it is usable; a poll on a connection that has ended fails at once. The callback of the end is not called again, so a check at the place of entry is what keeps table and connections equal.

--- a/sidecar/discovery/connection.py
+++ b/sidecar/discovery/connection.py
@@ -78,6 +78,9 @@
             _, connection = await asyncio.get_running_loop().create_connection(
                 create_protocol, *self._address
             )
+        if not connection.is_usable():
+            connection.close()  # a poll on a connection that has ended would wait for its response forever
+            raise ConnectionAbortedError("the connection ended at once")
         return connection
 
 
--- a/sidecar/upstream/connection_pool.py
+++ b/sidecar/upstream/connection_pool.py
@@ -164,11 +164,11 @@
             self._connecting -= 1
         if connection is None:
             self._on_connect_failed(attempt, outcome)
-            return
-        self._endpoint_of[connection] = endpoint
-        if connection.is_usable():
+        elif connection.is_usable():
+            self._endpoint_of[connection] = endpoint
             self._on_connected(attempt, endpoint, connection)
         else:
+            # It is not added, because it may have ended before this point, and then nothing would remove it.
             connection.close()
             self._on_connect_failed(attempt, Outcome.CONNECT_FAILED)
 
