Count the time of a long request from when its last byte may have been sent

Cause: the deadline began when the sidecar read the last byte. While the server takes nothing, reading is paused and the rest waits unread in the system's buffers; nothing but the stall timeout of 10 s ended that.

Change: BodyArrival takes the last byte for sent once unread data waits and what is missing fits into the client's send buffer (4 MiB, the default of net.ipv4.tcp_wmem). After the client's timeout, RequestBodyOverdue ends the request; servers that took nothing count a failure. body_completed subtracts the same time. A read that empties the socket starts the measurement anew, so a slow client is not cut off. Not taken: buffering the rest (memory), and a shorter stall timeout, which slow servers pass.

--- a/balancer/balancer.py
+++ b/balancer/balancer.py
@@ -29,6 +29,7 @@
     Outcome,
     RequestArrived,
     RequestBodyCompleted,
+    RequestBodyOverdue,
     ResponseStarted,
     TimerFired,
 )
@@ -98,6 +99,15 @@
                 self._response_started(event)
             case RequestBodyCompleted():
                 self._request_body_completed(event)
+            case RequestBodyOverdue():
+                self._request_body_overdue(event)
+            case _:
+                self._handle_administrative_event(event)
+        self._set_timer()
+        return self._context.actions
+
+    def _handle_administrative_event(self, event: Event) -> None:
+        match event:
             case EndpointExcluded():
                 self._updates.exclude(event.server)
             case EndpointIncluded():
@@ -106,8 +116,6 @@
                 self._context.set_cluster_size(event.configured, event.present)
             case _:
                 pass  # health checks and peer messages: the balancer sends none
-        self._set_timer()
-        return self._context.actions
 
     def endpoint_counts(self) -> EndpointCounts:
         """Return how many endpoints are listed, and how many of them get no regular requests now."""
@@ -167,6 +175,16 @@
                 attempt.responses_before = self._outliers.response_count
                 self._start_attempt(request, attempt)
 
+    def _request_body_overdue(self, event: RequestBodyOverdue) -> None:
+        """Finish a request whose body its server has not taken in time, unless a response has begun."""
+        request = self._requests.get(event.request)
+        if request is None or request.is_answered or request.has_started_response():
+            return
+        for attempt in request.attempts:
+            if attempt.is_pending:
+                self._outliers.record_outcome(attempt, Outcome.TIMED_OUT)
+        self._finish(request)
+
     def _start_attempt(self, request: Request, attempt: Attempt) -> None:
         self._in_flight.start(attempt)
         self._timeouts.start(request, attempt)
--- a/balancer/events.py
+++ b/balancer/events.py
@@ -89,6 +89,13 @@
     remaining_us: int
 
 
+@dataclass(slots=True)
+class RequestBodyOverdue:
+    """The time of a request is over, though no server has taken all of its streamed body."""
+
+    request: int
+
+
 @dataclass(slots=True)
 class ResponseStarted:
     """The client is receiving the streamed response of an attempt, so no other attempt can answer it."""
@@ -179,6 +186,7 @@
     EndpointListReceived
     | RequestArrived
     | RequestBodyCompleted
+    | RequestBodyOverdue
     | ResponseStarted
     | AttemptEnded
     | ClientDisconnected
--- a/sidecar/connection_socket.py
+++ b/sidecar/connection_socket.py
@@ -63,8 +63,15 @@
 
     def unsent_bytes(self) -> int:
         """Return the number of bytes in the socket's send queue, which the peer has not acknowledged yet."""
+        return self._queued_bytes(termios.TIOCOUTQ)
+
+    def unread_bytes(self) -> int:
+        """Return the number of bytes in the socket's receive queue, which the peer has sent."""
+        return self._queued_bytes(termios.FIONREAD)
+
+    def _queued_bytes(self, request: int) -> int:
         try:
-            queued = fcntl.ioctl(self._socket.fileno(), termios.TIOCOUTQ, b"\0" * 4)
+            queued = fcntl.ioctl(self._socket.fileno(), request, b"\0" * 4)
         except (OSError, ValueError):
             return 0
         return int.from_bytes(queued, sys.byteorder)
--- a/sidecar/downstream/connection.py
+++ b/sidecar/downstream/connection.py
@@ -9,12 +9,14 @@
 from typing import TYPE_CHECKING, cast
 
 from sidecar.connection_socket import ConnectionSocket
+from sidecar.downstream.body_arrival import BodyArrival
 from sidecar.downstream.body_streaming import Upload
 from sidecar.downstream.client_transport import ClientTransport
 from sidecar.downstream.connection_state import ConnectionState
 from sidecar.downstream.flow_control import (
     MAX_BODY_BYTES,
     MAX_BUFFERED_BODY_BYTES,
+    RECEIVE_BUFFER_BYTES,
     STALL_TIMEOUT_S,
     ReceiveProgress,
 )
@@ -52,6 +54,7 @@
         self._head: RequestHead | None = None  # of the request that is arriving or pending
         self._body = bytearray()
         self._upload: Upload | None = None  # a streamed body that has not arrived completely
+        self._body_arrival: BodyArrival | None = None  # of that body
         self.receive_progress = ReceiveProgress(0.0)
         self._pending_request: int | None = None  # the number of the request without a response
         self._source: ResponseSource | None = None  # of the response that is being streamed
@@ -218,6 +221,8 @@
             if self._owner.mark_active(self):
                 self.receive_progress.started_at = asyncio.get_running_loop().time()
             self._enter(ConnectionState.READING)
+        if self._body_arrival is not None and len(data) < RECEIVE_BUFFER_BYTES:
+            self._body_arrival.record_caught_up()
         self._reader.receive(data)
         self._read()
 
@@ -374,7 +379,7 @@
             self._reject(400, f"{error}\n".encode())
             return
         buffered, self._body = bytes(self._body), bytearray()
-        self._upload = upload
+        self._upload, self._body_arrival = upload, BodyArrival(length)
         if buffered:
             upload.feed(buffered)
         request = self._owner.on_arrival(self, incoming)
@@ -389,13 +394,35 @@
         if self._reader.has_trailing_data:
             self._reject_pipelined()
             return
-        self._upload = None
+        assert self._socket is not None
+        unread_us = max(self._socket.unread_us(), self._unread_body_us())
+        self._upload = self._body_arrival = None
         self._owner.clear_timeout(self)
         self._resume_upload()
         upload.end()
         if self._pending_request is not None:
-            assert self._socket is not None
-            self._owner.on_complete(self._pending_request, self._socket.unread_us())
+            self._owner.on_complete(self._pending_request, unread_us)
+
+    def report_unread_body(self) -> None:
+        """Report for how long the client may have been waiting though the rest of its body is unread."""
+        if self._pending_request is None or self.receive_progress.paused_since is None:
+            return
+        self._record_unread_body()
+        unread_us = self._unread_body_us()
+        if unread_us:
+            self._owner.on_unread_body(self._pending_request, unread_us)
+
+    def _record_unread_body(self) -> None:
+        if self._body_arrival is None or self._socket is None:
+            return
+        received_bytes, unread_bytes = self.receive_progress.received_bytes, self._socket.unread_bytes()
+        now = asyncio.get_running_loop().time()
+        self._body_arrival.record_unread(received_bytes, unread_bytes, now)
+
+    def _unread_body_us(self) -> int:
+        if self._body_arrival is None:
+            return 0
+        return int(self._body_arrival.waiting_s(asyncio.get_running_loop().time()) * 1e6)
 
     def _pause_upload(self) -> None:
         """Pause reading the body: its buffer is full, or the server is slower than the client."""
@@ -406,6 +433,7 @@
         ):
             self.receive_progress.paused_since = asyncio.get_running_loop().time()
             self._transport.pause_reading()
+            self._record_unread_body()
 
     def _resume_upload(self) -> None:
         if self.receive_progress.paused_since is None or self._transport is None:
@@ -415,5 +443,5 @@
             self._transport.resume_reading()
 
     def _discard_upload(self) -> None:
-        self._upload = None
+        self._upload = self._body_arrival = None
         self._resume_upload()
--- a/sidecar/downstream/downstream.py
+++ b/sidecar/downstream/downstream.py
@@ -38,17 +38,21 @@
         memory_mb: int,
         on_arrival: Callable[[DownstreamConnection, IncomingRequest], int | None],
         on_complete: Callable[[int, int], None],
+        on_unread_body: Callable[[int, int], None],
         on_disconnect: Callable[[int], None],
     ) -> None:
         """`on_arrival` returns the number of the accepted request, or None if it is answered already.
 
         `on_complete` is called with that number when the last byte of a streamed body has arrived, and with
-        how long the byte was unread in the socket, in microseconds.  `on_disconnect` is called with the
-        number when the client disconnects before its response.
+        how long the byte was unread in the socket, in microseconds.  `on_unread_body` is called repeatedly,
+        with the number and such a time, while the byte may have been sent and can't be read, because no
+        server takes what comes before it.  `on_disconnect` is called with the number when the client
+        disconnects before its response.
         """
         self.write_buffer_bytes = write_buffer_limit(memory_mb, max_connections)
         self.on_arrival = on_arrival
         self.on_complete = on_complete
+        self.on_unread_body = on_unread_body
         self.on_disconnect = on_disconnect
         self.is_draining = False  # every further response closes its connection
         self.fails_health_checks = False  # health checks get 503, so that clients go elsewhere
@@ -191,6 +195,8 @@
         for connection in [connection for connection in self._watched if connection.is_stalled(now)]:
             self._watched.pop(connection, None)
             connection.time_out(now)
+        for connection in list(self._watched):
+            connection.report_unread_body()
         for connection in _older_than(self._idle_since, now - _IDLE_TIMEOUT_S):
             if connection.is_idle:
                 connection.close()
--- a/sidecar/downstream/flow_control.py
+++ b/sidecar/downstream/flow_control.py
@@ -13,7 +13,8 @@
 MAX_BODY_BYTES = 32 << 20
 STALL_TIMEOUT_S = 10.0  # without any progress of a streamed body
 
-_RECEIVE_BUFFER = bytearray(64 << 10)  # shared by all connections: copied out at once
+RECEIVE_BUFFER_BYTES = 64 << 10  # a read that does not fill it has emptied the socket
+_RECEIVE_BUFFER = bytearray(RECEIVE_BUFFER_BYTES)  # shared by all connections: copied out at once
 _RECEIVE_VIEW = memoryview(_RECEIVE_BUFFER)
 _MIN_BODY_BYTES_PER_S = 58_000.0  # clients that keep to the platform's protocol send faster
 _MEMORY_FRACTION = 1 / 8  # of the process's memory, for all streamed bodies together
--- a/sidecar/request_intake.py
+++ b/sidecar/request_intake.py
@@ -4,7 +4,13 @@
 
 from collections.abc import Callable
 
-from balancer.events import ClientDisconnected, Event, RequestArrived, RequestBodyCompleted
+from balancer.events import (
+    ClientDisconnected,
+    Event,
+    RequestArrived,
+    RequestBodyCompleted,
+    RequestBodyOverdue,
+)
 from balancer.settings import Settings
 from sidecar.clock import Clock
 from sidecar.downstream.connection import DownstreamConnection
@@ -71,6 +77,14 @@
             self._upstream.shorten_deadline(attempt, now + remaining_us)
         self._dispatch(RequestBodyCompleted(number, remaining_us))
 
+    def body_unread(self, number: int, unread_us: int) -> None:
+        """End a request whose time is over, though the rest of its streamed body can't be read.
+
+        The last byte of the body may have been sent `unread_us` ago.
+        """
+        if unread_us >= self._requests[number].incoming.remaining_us:
+            self._dispatch(RequestBodyOverdue(number))
+
     def client_disconnected(self, number: int) -> None:
         """Stop work for a client that has disconnected."""
         request = self._requests.get(number)
--- a/sidecar/sidecar.py
+++ b/sidecar/sidecar.py
@@ -240,6 +240,7 @@
             self._configuration.memory_mb // process_count,
             intake.request_received,
             intake.body_completed,
+            intake.body_unread,
             intake.client_disconnected,
         )
 
