Limit the framing of each chunk in place of that of a whole body

Cause: ChunkedBody took a body for malformed once size lines, extensions and trailers together had more than 16 KiB and 32 bytes a chunk. RFC 9112, 7.1.1 wants unknown extensions ignored, and a body may have any number of chunks.

Change: the 16 KiB hold for the size line of each chunk and for the trailers, and can't be saved up over chunks any more. What a body without progress may cost stays bounded by the minimum rate of clients and the stall timeout of servers.

--- a/sidecar/http/chunked.py
+++ b/sidecar/http/chunked.py
@@ -12,8 +12,7 @@
 
 from sidecar.http.grammar import MAX_HEAD_BYTES, MalformedMessageError
 
-MAX_FRAMING_BYTES = MAX_HEAD_BYTES  # bytes of chunk extensions and trailers in one body
-_FRAMING_BYTES_PER_CHUNK = 32  # allowed in addition: the size, line ends, a short extension
+MAX_FRAMING_BYTES = MAX_HEAD_BYTES  # of one chunk's size line with its extensions, or of the trailers
 _PARSER_HEAD = b"POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n"
 _LAST_LINE_AND_EMPTY_LINE = re.compile(rb"[^\r\n]\r\n\r\n")
 
@@ -26,8 +25,8 @@
         self.has_trailing_data = False
         self._pieces: list[bytes] = []
         self._last_bytes = b""
-        self._framing_bytes = 0  # read so far, of chunk headers and trailers
-        self._chunks = 0
+        self._framing_bytes = 0  # read since the last call of `feed` that read a chunk header
+        self._new_chunks = 0  # whose header was read by the current call of `feed`
         self._parser = HttpRequestParser(self)
         self._parser.feed_data(_PARSER_HEAD)
 
@@ -41,14 +40,24 @@
             self.has_trailing_data = True
         pieces, self._pieces = self._pieces, []
         body = pieces[0] if len(pieces) == 1 else b"".join(pieces)
-        self._framing_bytes += len(data) - len(body)
-        if self._framing_bytes > MAX_FRAMING_BYTES + _FRAMING_BYTES_PER_CHUNK * self._chunks:
-            raise MalformedMessageError("chunks: too much beside the body")
+        self._limit_framing(len(data) - len(body))
         self._last_bytes = (self._last_bytes + data[-5:])[-5:]
         if self.is_complete and not _LAST_LINE_AND_EMPTY_LINE.fullmatch(self._last_bytes):
             self.has_trailing_data = True  # line ends, which llhttp skips before a message
         return body
 
+    def _limit_framing(self, framing_bytes: int) -> None:
+        """Limit the framing of each chunk and of the trailers, but not of all chunks of a body together.
+
+        A body may have any number of chunks, and each of them may carry an extension.
+        """
+        new_chunks, self._new_chunks = self._new_chunks, 0
+        self._framing_bytes += framing_bytes
+        if self._framing_bytes > MAX_FRAMING_BYTES * (new_chunks + 1):
+            raise MalformedMessageError("chunks: too much beside the body")
+        if new_chunks:
+            self._framing_bytes = 0
+
     # Called by llhttp
 
     def on_message_begin(self) -> None:
@@ -57,7 +66,7 @@
 
     def on_chunk_header(self) -> None:
         """Called by the parser: a chunk begins."""
-        self._chunks += 1
+        self._new_chunks += 1
 
     def on_body(self, body: bytes) -> None:
         """Called by the parser: a piece of the body."""
--- a/tests/test_http_codec.py
+++ b/tests/test_http_codec.py
@@ -133,6 +133,35 @@
         read_past_the_limit()
 
 
+@pytest.mark.parametrize("piece_bytes", [1_000, 4 * MAX_FRAMING_BYTES])
+def test_extensions_of_many_chunks_are_accepted(piece_bytes: int) -> None:
+    # Guards against cutting off a long body because its chunks carry signatures.
+    extended_chunk = b"40;chunk-signature=" + b"f" * 64 + b"\r\n" + b"x" * 64 + b"\r\n"
+    count = 4 * MAX_FRAMING_BYTES // 64
+    message = CHUNKED + extended_chunk * count + b"0\r\n\r\n"
+    reader = RequestReader()
+    body = b""
+    for start in range(0, len(message), piece_bytes):
+        reader.receive(message[start : start + piece_bytes])
+        while isinstance(event := reader.next_event(), (bytes, RequestHead)):
+            body += event if isinstance(event, bytes) else b""
+    assert event is Signal.END
+    assert len(body) == 64 * count
+
+
+def test_framing_of_a_late_chunk_is_limited() -> None:
+    # Guards against an allowance that a body saves up over many chunks and spends on one endless extension.
+    reader = RequestReader()
+    reader.receive(CHUNKED + b"1\r\nx\r\n" * 50_000)
+    assert isinstance(reader.next_event(), RequestHead)
+    assert reader.next_event() == b"x" * 50_000
+    reader.receive(b"1;" + b"a" * (MAX_FRAMING_BYTES - 100))
+    assert reader.next_event() is Signal.NEED_DATA
+    reader.receive(b"a" * MAX_FRAMING_BYTES)
+    with pytest.raises(MalformedMessageError):
+        reader.next_event()
+
+
 def test_many_small_chunks_are_accepted() -> None:
     reader = RequestReader()
     reader.receive(CHUNKED + b"1\r\nx\r\n" * 50_000 + b"0\r\n\r\n")
