Forward nothing more of a long request once its client has closed

Cause: the close stands behind the unread data, and a connection that is not paused was not asked for it before its data was forwarded. A cancelled attempt also left its unsent data in the system's send queue, which is sent after a close all the same.

Change: a read of a streamed body asks for the close first; closing a connection with unsent data of a request resets it (SO_LINGER), so the data is discarded. Connections without unsent data are closed as before.

--- a/sidecar/connection_socket.py
+++ b/sidecar/connection_socket.py
@@ -9,12 +9,14 @@
 import fcntl
 import select
 import socket
+import struct
 import sys
 import termios
 
 from sidecar.interfaces import Transport
 
 PEER_CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+_LINGER_ON_FOR_0_S = struct.pack("ii", 1, 0)  # struct linger
 _LAST_DATA_RECEIVED_OFFSET = 52  # of tcpi_last_data_recv (ms since data was last received) in struct tcp_info
 
 
@@ -76,6 +78,11 @@
             return 0
         return int.from_bytes(queued, sys.byteorder)
 
+    def discard_unsent(self) -> None:
+        """Reset the connection when it is closed, so that the peer does not get what is in the send queue."""
+        with contextlib.suppress(OSError):
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ON_FOR_0_S)
+
     def shut_down(self, how: int = socket.SHUT_WR) -> None:
         """Shut down sending, or both directions, immediately instead of when the transport gets to it."""
         with contextlib.suppress(OSError):  # the peer has closed the connection, or the socket was released
--- a/sidecar/downstream/connection.py
+++ b/sidecar/downstream/connection.py
@@ -221,6 +221,9 @@
             if self._owner.mark_active(self):
                 self.receive_progress.started_at = asyncio.get_running_loop().time()
             self._enter(ConnectionState.READING)
+        elif self._upload is not None and self.has_disconnected():
+            self.abort()  # the rest of the body may be unread, and must not be forwarded
+            return
         if self._body_arrival is not None and len(data) < RECEIVE_BUFFER_BYTES:
             self._body_arrival.record_caught_up()
         self._reader.receive(data)
--- a/sidecar/upstream/http_exchange.py
+++ b/sidecar/upstream/http_exchange.py
@@ -202,8 +202,12 @@
 
         The socket is shut down within this call, before the caller can write another attempt elsewhere.  The
         transport itself closes its socket only in a later event loop iteration, and until then the server
-        could receive this attempt while another server receives the next.
+        could receive this attempt while another server receives the next.  What the system has not sent of a
+        dropped request is discarded, as the server would otherwise receive and execute it later.
         """
+        is_dropping_request = self._on_result is not None and not self._is_closed
+        if is_dropping_request and self._socket is not None and self._socket.unsent_bytes():
+            self._socket.discard_unsent()
         self._on_result = None
         self._end_streaming()
         if self._transport is not None and not self._is_closed:
