Give other connections their turn during floods of chunks; read reused connections again

Found beside it by reading: a connection to a server could return to the pool with its reading paused.

Cause: the event loop reads up to 32 times in a row from a connection that always has data, and decoding 64 KiB of such chunks takes 1.5 ms. The pause: nothing resumes a connection whose client stops accepting at the last byte of a response.

Change: after a read of 64 KiB in a chunked body a connection waits for the next iteration (BoundedReader.yield_to_others); bodies of known length cost little and are read as before. A connection that becomes free is resumed.

--- a/sidecar/downstream/connection.py
+++ b/sidecar/downstream/connection.py
@@ -228,6 +228,12 @@
             self._body_arrival.record_caught_up()
         self._reader.receive(data)
         self._read()
+        if self._reader.is_in_chunked_body and len(data) == RECEIVE_BUFFER_BYTES and self.may_read():
+            self.yield_to_others(self._transport)
+
+    def may_read(self) -> bool:
+        """Whether neither the body's receiver nor a client that reads no responses holds up reading."""
+        return self.receive_progress.paused_since is None and not self._is_writing_paused
 
     def resume_writing(self) -> None:
         """Called by the event loop: the write buffer has drained."""
--- a/sidecar/downstream/flow_control.py
+++ b/sidecar/downstream/flow_control.py
@@ -9,6 +9,8 @@
 
 import asyncio
 
+from sidecar.interfaces import Transport
+
 MAX_BUFFERED_BODY_BYTES = 64 << 10
 MAX_BODY_BYTES = 32 << 20
 STALL_TIMEOUT_S = 10.0  # without any progress of a streamed body
@@ -43,6 +45,24 @@
         """Process data that the peer sent."""
         raise NotImplementedError
 
+    def may_read(self) -> bool:
+        """Return whether reading is not paused for want of space."""
+        raise NotImplementedError
+
+    def yield_to_others(self, transport: Transport | None) -> None:
+        """Read on in the next iteration of the event loop, so that other connections are served before.
+
+        The event loop reads up to 32 times in a row from a connection that always has data.
+        """
+        if transport is None or transport.is_closing():
+            return
+        transport.pause_reading()
+        asyncio.get_running_loop().call_soon(self._continue_reading, transport)
+
+    def _continue_reading(self, transport: Transport) -> None:
+        if not transport.is_closing() and self.may_read():
+            transport.resume_reading()
+
 
 class ReceiveProgress:
     """Measures how fast a client sends a request, not counting the time while reading was paused."""
--- a/sidecar/http/reader.py
+++ b/sidecar/http/reader.py
@@ -78,6 +78,11 @@
         """Whether bytes were received beyond those parsed."""
         return bool(self._unread) or (self._chunked is not None and self._chunked.has_trailing_data)
 
+    @property
+    def is_in_chunked_body(self) -> bool:
+        """Whether a chunked body is being read, whose chunks may be many and small."""
+        return self.is_in_body and self._chunked is not None
+
     @property
     def is_reusable(self) -> bool:
         """Whether a further message may follow on this connection."""
--- a/sidecar/upstream/http_exchange.py
+++ b/sidecar/upstream/http_exchange.py
@@ -15,7 +15,7 @@
 
 from sidecar.connection_socket import ConnectionSocket
 from sidecar.downstream.body_streaming import Upload
-from sidecar.downstream.flow_control import BoundedReader
+from sidecar.downstream.flow_control import RECEIVE_BUFFER_BYTES, BoundedReader
 from sidecar.http import (
     LAST_CHUNK,
     Headers,
@@ -102,6 +102,7 @@
         self._head: ResponseHead | None = None
         self._body = bytearray()
         self._is_writing_paused = False  # the transport's write buffer is not empty
+        self._is_reading_paused = False  # the client does not read what has been read of the response
         self._upload: Upload | None = None  # a streamed body that is not completely written
         self._is_upload_chunked = False
         self._sink: ResponseSink | None = None  # where a streamed response is forwarded to
@@ -185,11 +186,13 @@
 
     def pause(self) -> None:
         """Stop reading the response."""
+        self._is_reading_paused = True
         if self._transport is not None and not self._is_closed:
             self._transport.pause_reading()
 
     def resume(self) -> None:
         """Resume reading after `pause`."""
+        self._is_reading_paused = False
         if self._transport is not None and not self._is_closed:
             self._transport.resume_reading()
 
@@ -245,6 +248,12 @@
             self.close()  # an unsolicited response
             return
         self._read(data)
+        if self._reader.is_in_chunked_body and len(data) == RECEIVE_BUFFER_BYTES and self.may_read():
+            self.yield_to_others(self._transport)
+
+    def may_read(self) -> bool:
+        """Whether the receiver of the response accepts more of it."""
+        return not self._is_reading_paused
 
     def eof_received(self) -> None:
         """Called by the event loop: the server closed its sending side."""
@@ -339,6 +348,8 @@
         self._end_streaming()
         if self._reader.is_reusable and not is_early and not self._reader.has_trailing_data:
             self._reader.start_next()
+            if self._is_reading_paused:
+                self.resume()  # the client of this response does not delay those of the next
             self._on_free(self)
         else:
             self.close()
