Limit the memory of all requests together, and read less at a time where memory is short

Cause: buffered bodies and parsed heads were limited by connection only; complete bodies were held two or three times; each read was up to 64 KiB, beyond a connection's write limit of 24 KiB.

Change: RequestMemory counts heads and bodies until the response; over a fifth of the memory limit the slowest arriving requests get 503, pending ones stay. A body is held once. Reads are as large as the write limit, 16 to 64 KiB. Heads are let go with the response. test_body_over_the_limit_gets_413 had a server whose early response raced with the limit; it now waits, and the check is the same. Small heads cost a sum over their fields, not measured by itself.

--- a/sidecar/downstream/connection.py
+++ b/sidecar/downstream/connection.py
@@ -16,10 +16,10 @@
 from sidecar.downstream.flow_control import (
     MAX_BODY_BYTES,
     MAX_BUFFERED_BODY_BYTES,
-    RECEIVE_BUFFER_BYTES,
     STALL_TIMEOUT_S,
     ReceiveProgress,
 )
+from sidecar.downstream.request_memory import head_memory
 from sidecar.downstream.request_parsing import CHUNKED
 from sidecar.downstream.request_validation import InvalidRequestError
 from sidecar.http import (
@@ -56,6 +56,7 @@
         self._upload: Upload | None = None  # a streamed body that has not arrived completely
         self._body_arrival: BodyArrival | None = None  # of that body
         self.receive_progress = ReceiveProgress(0.0)
+        self._held_bytes = 0  # of the request's head and buffered body, in the memory of all requests
         self._pending_request: int | None = None  # the number of the request without a response
         self._source: ResponseSource | None = None  # of the response that is being streamed
         self._is_response_chunked = False
@@ -160,6 +161,31 @@
             self._owner.on_disconnect(request)
         self.respond(status, [], reason)
 
+    # Memory
+
+    def _hold_memory(self, count: int) -> bool:
+        """Count memory of the request; return whether it may be used, otherwise the request was rejected."""
+        memory = self._owner.request_memory
+        self._held_bytes += count
+        memory.hold(count)
+        if memory.is_exceeded:
+            self._owner.free_request_memory()
+            if memory.is_exceeded:
+                self.reject_for_memory()
+        return not self._is_reading_ended
+
+    def reject_for_memory(self) -> None:
+        """Reject a request that is arriving, because all requests together hold too much memory."""
+        self._body = bytearray()
+        self._reject(503, b"too many requests are arriving\n")
+        self._release_memory()
+
+    def _release_memory(self, count: int | None = None) -> None:
+        """Stop counting memory of the request; all of it by default."""
+        count = self._held_bytes if count is None else count
+        self._held_bytes -= count
+        self._owner.request_memory.release(count)
+
     # State, for the owner
 
     @property
@@ -204,6 +230,7 @@
         self._transport = cast(Transport, transport)  # uvloop's transport is no subclass of asyncio's
         self.receive_progress.started_at = asyncio.get_running_loop().time()
         self._socket = ConnectionSocket(self._transport)
+        self.max_read_bytes = self._owner.max_read_bytes
         self._owner.add(self)
 
     def data_received(self, data: bytes) -> None:
@@ -224,11 +251,11 @@
         elif self._upload is not None and self.has_disconnected():
             self.abort()  # the rest of the body may be unread, and must not be forwarded
             return
-        if self._body_arrival is not None and len(data) < RECEIVE_BUFFER_BYTES:
+        if self._body_arrival is not None and len(data) < self.max_read_bytes:
             self._body_arrival.record_caught_up()
         self._reader.receive(data)
         self._read()
-        if self._reader.is_in_chunked_body and len(data) == RECEIVE_BUFFER_BYTES and self.may_read():
+        if self._reader.is_in_chunked_body and len(data) == self.max_read_bytes and self.may_read():
             self.yield_to_others(self._transport)
 
     def may_read(self) -> bool:
@@ -266,6 +293,7 @@
             self._socket.release()
 
     def _handle_disconnect(self) -> None:
+        self._release_memory()
         self._discard_upload()
         self._source = None
         request, self._pending_request = self._pending_request, None
@@ -302,9 +330,10 @@
         self._head = head
         self.receive_progress.received_bytes = 0
         self._was_streamed = False
-        if head.length == 0:
+        if head.length != 0:
+            self._owner.watch_progress(self)
+        if not self._hold_memory(head_memory(head)) or head.length == 0:
             return
-        self._owner.watch_progress(self)
         if head.length is not None and head.length > MAX_BODY_BYTES:
             self._reject(413)
             return
@@ -319,7 +348,7 @@
             self._reject(413)
         elif self._upload is not None:
             self._upload.feed(data)
-        else:
+        elif self._hold_memory(len(data)):
             self._body += data
             if len(self._body) > MAX_BUFFERED_BODY_BYTES:
                 self._start_upload(None)
@@ -334,11 +363,12 @@
         if self._head.target == _HEALTH_TARGET:
             self._answer_health_check()
             return
-        if self._body and self.has_disconnected():
+        body, self._body = bytes(self._body), bytearray()
+        if body and self.has_disconnected():
             self.abort()
             return
         try:
-            incoming = self._owner.parse(self._head, bytes(self._body))
+            incoming = self._owner.parse(self._head, body)
         except InvalidRequestError as error:
             self._reject(400, f"{error}\n".encode())
             return
@@ -359,13 +389,14 @@
 
     def _response_written(self, *, is_last: bool) -> None:
         assert self._transport is not None
+        self._release_memory()
         if not self._reader.is_reusable or is_last or self._is_reading_ended:
+            self._head = None  # its memory is no longer counted
             self._linger()
             return
         self._enter(ConnectionState.IDLE)
         self._reader.start_next()
         self._head = None
-        self._body = bytearray()
         if not self._is_writing_paused:
             self._owner.mark_idle(self)
 
@@ -388,6 +419,7 @@
             self._reject(400, f"{error}\n".encode())
             return
         buffered, self._body = bytes(self._body), bytearray()
+        self._release_memory(len(buffered))
         self._upload, self._body_arrival = upload, BodyArrival(length)
         if buffered:
             upload.feed(buffered)
--- a/sidecar/downstream/downstream.py
+++ b/sidecar/downstream/downstream.py
@@ -11,8 +11,9 @@
 from sidecar.downstream.body_streaming import Upload
 from sidecar.downstream.client_transport import CLIENT_TIMEOUT_S
 from sidecar.downstream.connection import DownstreamConnection
-from sidecar.downstream.flow_control import write_buffer_limit
+from sidecar.downstream.flow_control import read_limit, write_buffer_limit
 from sidecar.downstream.listener import Listener
+from sidecar.downstream.request_memory import RequestMemory, request_memory_limit
 from sidecar.downstream.request_parsing import IncomingRequest, parse_request
 from sidecar.http import RequestHead
 
@@ -50,6 +51,8 @@
         disconnects before its response.
         """
         self.write_buffer_bytes = write_buffer_limit(memory_mb, max_connections)
+        self.max_read_bytes = read_limit(memory_mb, max_connections)
+        self.request_memory = RequestMemory(request_memory_limit(memory_mb))
         self.on_arrival = on_arrival
         self.on_complete = on_complete
         self.on_unread_body = on_unread_body
@@ -244,14 +247,21 @@
         self.remove(candidate)
         return True
 
+    def free_request_memory(self) -> None:
+        """Reject the slowest of the requests that are arriving, until they hold no more than the limit."""
+        for _ in range(_MAX_CANDIDATES):
+            candidate = self._slowest_sender()
+            if candidate is None or not self.request_memory.is_exceeded:
+                return
+            candidate.reject_for_memory()
+
     def _slowest_sender(self) -> DownstreamConnection | None:
         """Return the connection whose client is furthest behind in sending a buffered body."""
-        senders = [
-            connection for connection in islice(self._watched, _MAX_CANDIDATES) if connection.is_sending_body
-        ]
+        now = asyncio.get_running_loop().time()
+        senders = (connection for connection in self._watched if connection.is_sending_body)
         return max(
-            senders,
-            key=lambda connection: connection.receive_progress.lag_s(self.last_opened_at),
+            islice(senders, _MAX_CANDIDATES),
+            key=lambda connection: connection.receive_progress.lag_s(now),
             default=None,
         )
 
--- a/sidecar/sidecar.py
+++ b/sidecar/sidecar.py
@@ -18,6 +18,7 @@
 from sidecar.discovery.discovery import Discovery
 from sidecar.discovery.endpoint_list import EndpointList
 from sidecar.downstream.downstream import Downstream
+from sidecar.downstream.flow_control import read_limit
 from sidecar.downstream.listener import bind_listener
 from sidecar.event_dispatcher import EventDispatcher
 from sidecar.graceful_shutdown import GracefulShutdown
@@ -159,6 +160,12 @@
             is_only_process=self._hot_restart.is_only_process,
         )
 
+    @property
+    def _memory_mb(self) -> int:
+        """The memory of this process: during a hot restart, two processes share the limit of one sidecar."""
+        process_count = 1 if self._listener is None else 2
+        return self._configuration.memory_mb // process_count
+
     def _resize_upstream(self) -> None:
         self._upstream.resize(self._connection_limits().upstream)
 
@@ -187,6 +194,7 @@
             self._connection_limits().upstream,
             self._metrics.attempt_sent,
             before_writing,
+            read_limit(self._memory_mb, self._connection_limits().downstream),
         )
 
     def _create_cluster(self) -> ClusterService:
@@ -232,12 +240,10 @@
             self._dispatcher.dispatch,
             self._cluster.request_received,
         )
-        # During a hot restart, two processes share the memory limit of one sidecar.
-        process_count = 1 if self._listener is None else 2
         return Downstream(
             self._configuration.settings,
             self._connection_limits().downstream,
-            self._configuration.memory_mb // process_count,
+            self._memory_mb,
             intake.request_received,
             intake.body_completed,
             intake.body_unread,
--- a/sidecar/upstream/http_exchange.py
+++ b/sidecar/upstream/http_exchange.py
@@ -15,7 +15,7 @@
 
 from sidecar.connection_socket import ConnectionSocket
 from sidecar.downstream.body_streaming import Upload
-from sidecar.downstream.flow_control import RECEIVE_BUFFER_BYTES, BoundedReader
+from sidecar.downstream.flow_control import MAX_READ_BYTES, BoundedReader
 from sidecar.http import (
     LAST_CHUNK,
     Headers,
@@ -29,6 +29,7 @@
 from sidecar.interfaces import ResponseSink, Transport
 
 _CONTENT_HEADERS = (b"content-type", b"content-encoding")
+_MAX_COPIED_BODY_BYTES = 8 << 10  # a longer body is written by a second call, so that it is not held twice
 _MAX_BUFFERING_S = 0.05  # of a response of unknown length; one that takes longer is streamed
 
 
@@ -84,12 +85,14 @@
         max_buffered_bytes: int,
         on_free: Callable[[UpstreamConnection], None],
         on_closed: Callable[[UpstreamConnection], None],
+        max_read_bytes: int = MAX_READ_BYTES,
     ) -> None:
         """`on_free` is called when the connection can be reused, `on_closed` once when it is closed.
 
         A response body of more than `max_buffered_bytes` is streamed, or the exchange fails if its caller
         accepts no streamed response.
         """
+        self.max_read_bytes = max_read_bytes
         self._max_buffered_bytes = max_buffered_bytes
         self._on_free = on_free
         self._on_closed = on_closed
@@ -149,7 +152,11 @@
             self._transport.write(head)
             request.upload.attach(self)
             return
-        self._transport.write(head + request.body if request.body else head)
+        if len(request.body) > _MAX_COPIED_BODY_BYTES:
+            self._transport.write(head)
+            self._transport.write(request.body)
+        else:
+            self._transport.write(head + request.body)
         if self._transport.is_closing():
             self._is_writing_paused = True  # the write failed immediately; connection_lost follows
         if not self._is_writing_paused:
@@ -248,7 +255,7 @@
             self.close()  # an unsolicited response
             return
         self._read(data)
-        if self._reader.is_in_chunked_body and len(data) == RECEIVE_BUFFER_BYTES and self.may_read():
+        if self._reader.is_in_chunked_body and len(data) == self.max_read_bytes and self.may_read():
             self.yield_to_others(self._transport)
 
     def may_read(self) -> bool:
--- a/sidecar/upstream/upstream.py
+++ b/sidecar/upstream/upstream.py
@@ -9,7 +9,7 @@
 from balancer.settings import Limits
 from sidecar.clock import Clock
 from sidecar.discovery.endpoint_list import EndpointList
-from sidecar.downstream.flow_control import STALL_TIMEOUT_S
+from sidecar.downstream.flow_control import MAX_READ_BYTES, STALL_TIMEOUT_S
 from sidecar.interfaces import ResponseSink
 from sidecar.upstream.attempt import Attempt, outcome_of
 from sidecar.upstream.connection_pool import ConnectionPool, PooledEndpoint
@@ -29,15 +29,19 @@
         max_connections: int,
         on_written: Callable[[], None],
         before_writing: Callable[[], None] | None = None,
+        max_read_bytes: int = MAX_READ_BYTES,
     ) -> None:
         """`on_written` is called when the last byte of a request was passed to the system.
 
-        `before_writing` is called before each decision to write, and may exclude servers.
+        `before_writing` is called before each decision to write, and may exclude servers.  At most
+        `max_read_bytes` are read from a connection at a time.
         """
         self._clock = clock
         self._on_written = on_written
         self._before_writing = before_writing
-        self._pool = ConnectionPool(clock, limits, max_connections, self._connected, self._end)
+        self._pool = ConnectionPool(
+            clock, limits, max_connections, self._connected, self._end, max_read_bytes
+        )
 
     # Endpoints
 
--- a/tests/test_downstream_requests.py
+++ b/tests/test_downstream_requests.py
@@ -86,8 +86,11 @@
     # Guards against a reset that loses the response while the client is still sending.
     monkeypatch.setattr(connection, "MAX_BODY_BYTES", 150_000)
 
+    async def wait_for_body(_request: ReceivedRequest) -> None:
+        await asyncio.Event().wait()  # an early response could overtake the part beyond the limit
+
     async def work() -> None:
-        async with running_sidecar(OK) as harness:
+        async with running_sidecar(wait_for_body) as harness:
             client = await harness.client()
             body = b"x" * 200_000
             if framing == "length":
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -121,15 +121,17 @@
 
 @asynccontextmanager
 async def running_program(
-    script: Callable[[ReceivedRequest], Any] | bytes, directory: Path
+    script: Callable[[ReceivedRequest], Any] | bytes, directory: Path, **configuration: Any
 ) -> AsyncIterator[RunningProgram]:
+    """Run a sidecar program with one server; `configuration` replaces keys of its configuration file."""
     server = await ScriptedServer(script).start()
     discovery = ScriptedDiscovery()
     discovery.servers = [endpoint_entry("s-1", server.address)]
     await discovery.start()
     known = {"version": 1, "full": True, "servers": discovery.servers}
     path = directory / "config.json"
-    path.write_text(json.dumps({**VALID_CONFIGURATION, "discovery": discovery.address, "known": known}))
+    addresses = {"discovery": discovery.address, "known": known}
+    path.write_text(json.dumps({**VALID_CONFIGURATION, **addresses, **configuration}))
     process = await start_program(path)
     try:
         assert process.stderr is not None
--- a/tests/test_upstream_reading.py
+++ b/tests/test_upstream_reading.py
@@ -81,7 +81,7 @@
     data_received = DownstreamConnection.data_received
 
     def count_read(connection: DownstreamConnection, data: bytes) -> None:
-        reads_by_iteration[-1] += len(data) == 1 << 16
+        reads_by_iteration[-1] += len(data) == connection.max_read_bytes
         data_received(connection, data)
 
     monkeypatch.setattr(DownstreamConnection, "data_received", count_read)
