End a request within 3 s when its client stops, however much it has sent before

Cause: ReceiveProgress let a client that had sent much at once save up the time that the body needs at the minimum rate.

A client that keeps to 64 kB/s is as before.

--- a/sidecar/downstream/connection.py
+++ b/sidecar/downstream/connection.py
@@ -343,7 +343,7 @@
             self._transport.write(CONTINUE)
 
     def _body_received(self, data: bytes) -> None:
-        self.receive_progress.received_bytes += len(data)
+        self.receive_progress.record(len(data), asyncio.get_running_loop().time())
         if self.receive_progress.received_bytes > MAX_BODY_BYTES:
             self._reject(413)
         elif self._upload is not None:
--- a/sidecar/downstream/flow_control.py
+++ b/sidecar/downstream/flow_control.py
@@ -86,6 +86,14 @@
         self.received_bytes = 0  # of the body
         self.paused_since: float | None = None
 
+    def record(self, count: int, now: float) -> None:
+        """Record that `count` bytes of the body arrived.
+
+        A client that is ahead of the minimum rate saves up no time, so one that stops is noticed soon.
+        """
+        self.received_bytes += count
+        self.started_at = min(self.started_at, now - self.received_bytes / _MIN_BODY_BYTES_PER_S)
+
     def resume(self, now: float) -> None:
         """End a pause, whose duration does not count as the client's time."""
         if self.paused_since is not None:
--- a/tests/test_flow_control.py
+++ b/tests/test_flow_control.py
@@ -25,6 +25,21 @@
     assert progress.lag_s(12.0) == 1.0
 
 
+def test_client_that_stops_is_late_however_much_it_has_sent() -> None:
+    # Guards against clients that stop in a long request and hold their connection for half a minute.
+    progress = ReceiveProgress(now=10.0)
+    progress.record(2_000_000, now=11.0)
+    assert progress.lag_s(11.0) == pytest.approx(0.0)
+    assert progress.lag_s(14.0) == pytest.approx(3.0)
+
+
+def test_client_at_the_minimum_rate_is_never_late() -> None:
+    progress = ReceiveProgress(now=0.0)
+    for second in range(1, 100):
+        progress.record(64_000, now=float(second))
+        assert progress.lag_s(second + 0.9) <= 1.0
+
+
 def test_receive_progress_does_not_count_pauses() -> None:
     progress = ReceiveProgress(now=10.0)
     progress.paused_since = 11.0
