Execute no request again whose id comes again after its client has left

Cause: no id of an earlier request was known. A cancelled attempt may have run.

Not taken: a table checked on arrival, which misses two requests that wait for a connection; a lock around each claim.

--- a/sidecar/attempts.py
+++ b/sidecar/attempts.py
@@ -53,6 +53,9 @@
         def is_wanted() -> bool:
             return request.client is not None and not request.client.has_disconnected()
 
+        def may_execute() -> bool:
+            return self._requests.claim_id(number)
+
         attempt = Attempt(
             action.server,
             action.deadline,
@@ -61,6 +64,7 @@
             on_streaming_response,
             action.send_by,
             is_wanted,
+            may_execute,
         )
         attempt.sent_at = self._clock.now()
         request.attempts.append(attempt)
--- a/sidecar/downstream/request_parsing.py
+++ b/sidecar/downstream/request_parsing.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from balancer.settings import ServiceClass
+from balancer.settings import Idempotency, ServiceClass
 from sidecar.downstream.body_streaming import Upload
 from sidecar.downstream.request_validation import (
     InvalidRequestError,
@@ -41,6 +41,8 @@
     """A client's request, parsed and validated."""
 
     service_class: str
+    is_idempotent: bool
+    request_id: bytes
     tenant: str | None
     affinity_key: int | None
     remaining_us: int
@@ -85,6 +87,8 @@
     tenant = protocol_headers.get(b"tenant", b"").decode("latin-1")
     return IncomingRequest(
         service_class=service_class.name,
+        is_idempotent=service_class.idempotency is Idempotency.IDEMPOTENT,
+        request_id=protocol_headers[b"request-id"],
         tenant=tenant if tenant in tenants else None,
         affinity_key=_affinity_key(head.target),
         remaining_us=remaining_us,
--- a/sidecar/log_events.py
+++ b/sidecar/log_events.py
@@ -188,6 +188,16 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class RequestIdsNotShared(LogEvent):
+    """The file of request ids can't be used, so the other process of a hot restart does not know them."""
+
+    name = "request_ids_not_shared"
+    template = "{reason}"
+
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class ExclusionsFileNotWritten(LogEvent):
     """The file of persisted exclusions can't be written."""
--- a/sidecar/metrics.py
+++ b/sidecar/metrics.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 from enum import Enum, unique
 
-_REJECTION_STATUSES = (429, 503)  # clients treat both as rejections, also if a server sent them
+REJECTION_STATUSES = (429, 503)  # clients treat both as rejections, also if a server sent them
 
 
 @unique
@@ -24,7 +24,7 @@
         """Return the result that corresponds to the status of a final response."""
         if status == 200:
             return cls.COMPLETED
-        return cls.REJECTED if status in _REJECTION_STATUSES else cls.FAILED
+        return cls.REJECTED if status in REJECTION_STATUSES else cls.FAILED
 
 
 class Metrics:
--- a/sidecar/sidecar.py
+++ b/sidecar/sidecar.py
@@ -28,6 +28,7 @@
 from sidecar.open_requests import OpenRequests
 from sidecar.persisted_exclusions import PersistedExclusions
 from sidecar.process_lock import ProcessLock
+from sidecar.request_ids import RequestIdTable
 from sidecar.request_intake import RequestIntake
 from sidecar.shutdown_state import ShutdownState
 from sidecar.upstream.upstream import Upstream
@@ -53,7 +54,8 @@
         self._persisted_exclusions = self._create_persisted_exclusions()
         self._metrics = Metrics(service_class.name for service_class in configuration.settings.classes)
         self._upstream = self._create_upstream()
-        self._requests = OpenRequests(self._metrics, self._upstream.cancel_unwritten)
+        self._request_ids = self._create_request_ids()
+        self._requests = OpenRequests(self._metrics, self._upstream.cancel_unwritten, self._request_ids)
         self._balancer = Balancer(configuration.settings, configuration.seed)
         self._dispatcher = EventDispatcher(self._balancer, self._clock, self._requests, log)
         self._cluster = self._create_cluster()
@@ -183,6 +185,10 @@
             return None
         return PersistedExclusions(directory, self._log)
 
+    def _create_request_ids(self) -> RequestIdTable:
+        directory = self._configuration.state_directory if self._listener is not None else None
+        return RequestIdTable(self._clock, directory, self._log)
+
     def _create_upstream(self) -> Upstream:
         before_writing = None
         if self._persisted_exclusions is not None and self._listener is not None:
--- a/sidecar/upstream/attempt.py
+++ b/sidecar/upstream/attempt.py
@@ -32,9 +32,11 @@
         "deadline",
         "is_ended",
         "is_wanted",
+        "is_written",
         "last_progress_at",
         "last_streamed_bytes",
         "make_request",
+        "may_execute",
         "on_ended",
         "on_streaming_response",
         "send_by",
@@ -52,11 +54,13 @@
         on_streaming_response: OnStreamingResponse | None = None,
         send_by: int | None = None,
         is_wanted: Callable[[], bool] = lambda: True,
+        may_execute: Callable[[], bool] = lambda: True,
     ) -> None:
         """`make_request` is called with the time left in microseconds.
 
         The first byte is written before `send_by`, or never; the default is the deadline.  `is_wanted`
-        returns whether the client is still waiting for the response.
+        returns whether the client is still waiting for the response.  `may_execute` is called right before
+        the first byte is written, and returns whether the server may execute the request.
         """
         self.server = server
         self.deadline = deadline
@@ -65,7 +69,9 @@
         self.on_streaming_response = on_streaming_response
         self.send_by = deadline if send_by is None else send_by
         self.is_wanted = is_wanted
+        self.may_execute = may_execute
         self.is_ended = False
+        self.is_written = False  # the last byte of the request was passed to the system
         self.sent_at = 0  # set by the caller of `Upstream.start`, if needed
         self.connection: UpstreamConnection | None = None  # once the request is written
         self.timer: asyncio.TimerHandle | None = None
--- a/sidecar/upstream/upstream.py
+++ b/sidecar/upstream/upstream.py
@@ -119,6 +119,11 @@
             self._end(attempt, Outcome.NOT_SENT)
 
     def _write(self, attempt: Attempt, connection: UpstreamConnection) -> None:
+        if not attempt.may_execute():
+            self._pool.release(connection)
+            asyncio.get_running_loop().call_soon(self._end, attempt, Outcome.NOT_SENT)
+            return
+
         def on_result(result: Response | ExchangeFailure) -> None:
             self._end(attempt, outcome_of(result), result if isinstance(result, Response) else None)
 
@@ -131,6 +136,10 @@
                 self._watch_progress(attempt)
             return sink
 
+        def on_written() -> None:
+            attempt.is_written = True
+            self._on_written()
+
         attempt.connection = connection
         if attempt.send_by < attempt.deadline:
             self._set_timer(attempt)
@@ -138,7 +147,7 @@
         request = attempt.make_request(time_left_us)
         accepts_streaming = attempt.on_streaming_response is not None
         connection.exchange(
-            request, on_result, self._on_written, on_streaming_response if accepts_streaming else None
+            request, on_result, on_written, on_streaming_response if accepts_streaming else None
         )
         if request.upload is not None and not request.upload.is_complete:
             self._watch_progress(attempt)
