Withdraw attempts whose body stays incomplete, whether or not settings allow cancelling

Cause: such an attempt was neither cancelled nor ended by its deadline, which had not begun, nor by the stall timeout, which waits for servers only. Each held a connection until the server gave up.

Change: what is withdrawn at the end of a request includes attempts whose body is not completely written. No server can execute them ("a server begins a request once its last byte has arrived"), so no work is cancelled by it.

--- a/sidecar/sidecar.py
+++ b/sidecar/sidecar.py
@@ -56,7 +56,7 @@
         self._metrics = Metrics(service_class.name for service_class in configuration.settings.classes)
         self._upstream = self._create_upstream()
         self._request_ids = self._create_request_ids()
-        self._requests = OpenRequests(self._metrics, self._upstream.cancel_unwritten, self._request_ids)
+        self._requests = OpenRequests(self._metrics, self._upstream.withdraw, self._request_ids)
         self._balancer = Balancer(configuration.settings, configuration.seed)
         self._dispatcher = EventDispatcher(self._balancer, self._clock, self._requests, log)
         self._cluster = self._create_cluster()
--- a/sidecar/upstream/http_exchange.py
+++ b/sidecar/upstream/http_exchange.py
@@ -185,6 +185,11 @@
         """Whether the response is forwarded while it arrives."""
         return self._sink is not None
 
+    @property
+    def is_sending_body(self) -> bool:
+        """Whether the request has a streamed body that is not completely written."""
+        return self._upload is not None
+
     @property
     def is_waiting_for_server(self) -> bool:
         """Whether the progress of a streamed body depends on the server, not on the client."""
--- a/sidecar/upstream/upstream.py
+++ b/sidecar/upstream/upstream.py
@@ -165,9 +165,10 @@
             outcome = Outcome.CANCELLED
         asyncio.get_running_loop().call_soon(attempt.on_ended, outcome, None)
 
-    def cancel_unwritten(self, attempt: Attempt) -> None:
-        """Cancel an attempt unless its request is being or was written to the server."""
-        if attempt.connection is None:
+    def withdraw(self, attempt: Attempt) -> None:
+        """Cancel an attempt that no server can execute: its request is not written, or stays incomplete."""
+        connection = attempt.connection
+        if connection is None or connection.is_sending_body:
             self.cancel(attempt)
 
     def shorten_deadline(self, attempt: Attempt, deadline: int) -> None:
--- a/tests/test_disconnect_during_body.py
+++ b/tests/test_disconnect_during_body.py
@@ -6,6 +6,7 @@
 import contextlib
 import socket
 
+import pytest
 from loopback import (
     HOST,
     LONG_BODY,
@@ -101,3 +102,24 @@
         server.close()
 
     run_async(work)
+
+
+@pytest.mark.parametrize("may_cancel", [True, False])
+def test_attempt_whose_body_stays_incomplete_ends_with_its_client(may_cancel: bool) -> None:
+    # Guards against connections to servers that stay open for good where settings don't allow cancelling: a
+    # server that waits for the rest of a request can't execute it.
+    async def work() -> None:
+        server = PausedServer()
+        bounds = {"mayCancel": may_cancel}
+        async with running_sidecar(is_listed=False, bounds=bounds) as harness:
+            await list_server(harness, server)
+            client = await harness.client()
+            client.send(request_bytes("lodge", body=BODY[:500_000])[:200_000])
+            await within_timeout(server.accept())
+            reading = asyncio.ensure_future(server.read_to_end())
+            client.close()
+            assert await within_timeout(reading) < 500_000
+            await wait_until(lambda: harness.sidecar.open_requests == 0)
+        server.close()
+
+    run_async(work)
--- a/tests/test_late_connections.py
+++ b/tests/test_late_connections.py
@@ -210,7 +210,7 @@
         async with late_connection_setup() as setup:
             attempt = setup.start_attempt()
             setup.upstream.cancel(attempt)
-            setup.upstream.cancel_unwritten(attempt)
+            setup.upstream.withdraw(attempt)
             await wait_until(lambda: setup.outcomes == [Outcome.NOT_SENT])
             assert await setup.first_bytes() == b""
 
@@ -220,7 +220,7 @@
 def test_connection_that_outlives_its_attempt_counts_against_the_limit_and_is_kept() -> None:
     async def work() -> None:
         async with late_connection_setup(max_connections=1) as setup:
-            setup.upstream.cancel_unwritten(setup.start_attempt())
+            setup.upstream.withdraw(setup.start_attempt())
             setup.start_attempt()  # at the limit: the first connection is still being established
             await wait_until(lambda: setup.outcomes == [Outcome.NOT_SENT] * 2)
             accepted = await setup.slow.accept()
