Let connections to servers rest before their reuse once a server has answered twice

Cause: a connection is reused at once, and a second response that comes some milliseconds late is taken for the response to the request that has just been written.

Change: data on a connection that is idle for less than 1 s is a second response. For a minute after that no connection is reused within 10 ms of its response; a rested or a new one is taken.

--- a/sidecar/upstream/connection_pool.py
+++ b/sidecar/upstream/connection_pool.py
@@ -18,6 +18,9 @@
 
 _IDLE_TIMEOUT_MARGIN = 0.1  # fraction of the idle timeout that is left unused, as servers may close first
 _SWEEPS_PER_IDLE_TIMEOUT = 4
+_REST_US = 10_000  # after a response; a second one may come some milliseconds late
+_MAX_SECOND_RESPONSE_DELAY_US = 1_000_000  # later data is no second response
+_RESTS_FOR_US = 60_000_000  # after a second response, whose server may send more of them
 # Errors which mean that this machine, not the server, lacked resources for a connection.
 _LOCAL_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 
@@ -79,6 +82,7 @@
         self.excluded: set[str] = set()  # including servers that are not listed now
         self._endpoint_of: dict[UpstreamConnection, PooledEndpoint] = {}  # every established connection
         self._connecting = 0
+        self._rests_until = 0  # clock time until which connections rest before they are reused
         self._tasks: set[asyncio.Task[None]] = set()
         self._sweep_timer: asyncio.TimerHandle | None = None
 
@@ -129,14 +133,28 @@
     # Connections
 
     def take_idle(self, endpoint: PooledEndpoint) -> UpstreamConnection | None:
-        """Return the most recently used idle connection that is usable, if any."""
-        while endpoint.idle:
-            idle = endpoint.idle.pop()
-            if self._clock.now() - idle.since < self._max_idle_us and idle.connection.is_usable():
+        """Return the most recently used idle connection that is usable, if any.
+
+        While servers send second responses, connections rest first: a second response that arrives after the
+        next request was written would be taken for the response to that request.
+        """
+        now = self._clock.now()
+        used_before = now - _REST_US if now < self._rests_until else now
+        resting = [idle for idle in endpoint.idle if idle.since > used_before]
+        while len(endpoint.idle) > len(resting):
+            idle = endpoint.idle.pop(len(endpoint.idle) - len(resting) - 1)
+            if now - idle.since < self._max_idle_us and idle.connection.is_usable():
                 return idle.connection
+            self._check_second_response(idle)
             idle.connection.close()
         return None
 
+    def _check_second_response(self, idle: IdleConnection) -> None:
+        """Let connections rest for a while if one that has become unusable got a second response."""
+        now = self._clock.now()
+        if now - idle.since < _MAX_SECOND_RESPONSE_DELAY_US and idle.connection.has_unsolicited_data():
+            self._rests_until = now + _RESTS_FOR_US
+
     def has_capacity(self) -> bool:
         """Whether one more connection may be established; closes the longest idle one if that is needed."""
         return len(self._endpoint_of) + self._connecting < self._max_connections or self._close_oldest()
@@ -187,8 +205,12 @@
     def _remove_connection(self, connection: UpstreamConnection) -> None:
         """Remove a closed connection."""
         endpoint = self._endpoint_of.pop(connection, None)
-        if endpoint is not None:
-            endpoint.idle = [idle for idle in endpoint.idle if idle.connection is not connection]
+        if endpoint is None:
+            return
+        for idle in endpoint.idle:
+            if idle.connection is connection:
+                self._check_second_response(idle)
+        endpoint.idle = [idle for idle in endpoint.idle if idle.connection is not connection]
 
     def resize(self, max_connections: int) -> None:
         """Change the limit; the longest idle connections are closed to meet it."""
--- a/sidecar/upstream/http_exchange.py
+++ b/sidecar/upstream/http_exchange.py
@@ -113,6 +113,7 @@
         self._buffering_timer: asyncio.TimerHandle | None = None
         self.streamed_bytes = 0  # of bodies, in either direction
         self._is_closed = False
+        self._has_unsolicited_data = False
 
     # Called by the owner
 
@@ -128,6 +129,11 @@
             return False
         return self._socket is not None and self._socket.is_idle()
 
+    def has_unsolicited_data(self) -> bool:
+        """Whether the server has sent something to an idle connection, as a second response."""
+        is_unread = not self._is_closed and self._socket is not None and self._socket.unread_bytes() > 0
+        return self._has_unsolicited_data or is_unread
+
     def exchange(
         self,
         request: OutgoingRequest,
@@ -259,7 +265,8 @@
     def data_received(self, data: bytes) -> None:
         """Called by the event loop: the server sent these bytes."""
         if self._on_result is None:
-            self.close()  # an unsolicited response
+            self._has_unsolicited_data = True
+            self.close()
             return
         self._read(data)
         if self._reader.is_in_chunked_body and len(data) == self.max_read_bytes and self.may_read():
