Receive streamed request bodies in a class of their own

Change: pausing, resuming and watching a body that arrives moves to BodyReceiver, between ClientTransport and DownstreamConnection. No behavior changes.

--- a/sidecar/downstream/connection.py
+++ b/sidecar/downstream/connection.py
@@ -10,14 +10,13 @@
 
 from sidecar.connection_socket import ConnectionSocket
 from sidecar.downstream.body_arrival import BodyArrival
+from sidecar.downstream.body_receiver import BodyReceiver
 from sidecar.downstream.body_streaming import Upload
-from sidecar.downstream.client_transport import ClientTransport
 from sidecar.downstream.connection_state import ConnectionState
 from sidecar.downstream.flow_control import (
     MAX_BODY_BYTES,
     MAX_BUFFERED_BODY_BYTES,
     STALL_TIMEOUT_S,
-    ReceiveProgress,
 )
 from sidecar.downstream.memory_budget import head_memory
 from sidecar.downstream.request_parsing import CHUNKED
@@ -43,7 +42,7 @@
 _CONNECTION_CLOSE = (b"connection", b"close")
 
 
-class DownstreamConnection(ClientTransport):
+class DownstreamConnection(BodyReceiver):
     """The protocol of one client connection."""
 
     _owner: Downstream
@@ -53,11 +52,7 @@
         self._reader = RequestReader()
         self._head: RequestHead | None = None  # of the request that is arriving or pending
         self._body = bytearray()
-        self._upload: Upload | None = None  # a streamed body that has not arrived completely
-        self._body_arrival: BodyArrival | None = None  # of that body
-        self.receive_progress = ReceiveProgress(0.0)
         self._held_bytes = 0  # of the request's head and buffered body, in the memory of all requests
-        self._pending_request: int | None = None  # the number of the request without a response
         self._source: ResponseSource | None = None  # of the response that is being streamed
         self._is_response_chunked = False
         self._response_bytes_left: int | None = None  # None: its length is not known
@@ -256,10 +251,6 @@
         if self._reader.is_in_chunked_body and len(data) == self.max_read_bytes and self.may_read():
             self.yield_to_others(self._transport)
 
-    def may_read(self) -> bool:
-        """Whether neither the body's receiver nor a client that reads no responses holds up reading."""
-        return self.receive_progress.paused_since is None and not self._is_writing_paused
-
     def resume_writing(self) -> None:
         """Called by the event loop: the write buffer has drained."""
         self._is_writing_paused = False
@@ -442,48 +433,3 @@
         upload.end()
         if self._pending_request is not None:
             self._owner.on_complete(self._pending_request, unread_us)
-
-    def report_unread_body(self) -> None:
-        """Report for how long the client may have been waiting though the rest of its body is unread."""
-        if self._pending_request is None:
-            return
-        self._record_unread_body()
-        unread_us = self._unread_body_us()
-        if unread_us:
-            self._owner.on_unread_body(self._pending_request, unread_us)
-
-    def _record_unread_body(self) -> None:
-        if self._body_arrival is None or self._socket is None:
-            return
-        progress, unread_bytes = self.receive_progress, self._socket.unread_bytes()
-        if not unread_bytes:
-            self._body_arrival.record_empty()
-        elif progress.paused_since is not None:
-            now = asyncio.get_running_loop().time()
-            self._body_arrival.record_unread(progress.received_bytes, unread_bytes, now)
-
-    def _unread_body_us(self) -> int:
-        if self._body_arrival is None:
-            return 0
-        return int(self._body_arrival.waiting_s(asyncio.get_running_loop().time()) * 1e6)
-
-    def _pause_upload(self) -> None:
-        """Pause reading the body: its buffer is full, or the server is slower than the client."""
-        if (
-            self.receive_progress.paused_since is None
-            and self._upload is not None
-            and self._transport is not None
-        ):
-            self.receive_progress.paused_since = asyncio.get_running_loop().time()
-            self._transport.pause_reading()
-
-    def _resume_upload(self) -> None:
-        if self.receive_progress.paused_since is None or self._transport is None:
-            return
-        self.receive_progress.resume(asyncio.get_running_loop().time())
-        if not self._is_writing_paused and not self._transport.is_closing():
-            self._transport.resume_reading()
-
-    def _discard_upload(self) -> None:
-        self._upload = self._body_arrival = None
-        self._resume_upload()
