Tests: one harness for single attempts of an upstream, and one fake clock

Cause: three of the new test modules made the same `Upstream` with one server, two the same clock.

Change: tests/upstream_harness.py has both; the assertions are the same.

--- a/tests/test_connection_lost_at_once.py
+++ b/tests/test_connection_lost_at_once.py
@@ -6,17 +6,13 @@
 from collections.abc import Callable
 
 import pytest
-from loopback import OK, ScriptedServer, endpoint_entry, run_async, wait_until
+from loopback import OK, ScriptedServer, run_async
+from upstream_harness import UpstreamHarness
 
 from balancer.events import Outcome
-from balancer.settings import Limits
 from sidecar.address import parse_address
-from sidecar.clock import Clock
 from sidecar.discovery.connection import DiscoveryConnection, PollFailedError
-from sidecar.discovery.endpoint_list import parse_endpoint_list
-from sidecar.upstream.attempt import Attempt
-from sidecar.upstream.http_exchange import OutgoingRequest, UpstreamConnection
-from sidecar.upstream.upstream import Upstream
+from sidecar.upstream.http_exchange import UpstreamConnection
 
 MAX_CONNECTIONS = 3
 
@@ -45,32 +41,13 @@
     # Guards against a sidecar that rejects everything for good, once as many connections as its limit allows
     # have ended in this way.
     async def work() -> None:
-        server = await ScriptedServer(OK).start()
-        upstream = Upstream(Clock(), Limits(connect_timeout_us=60_000_000), MAX_CONNECTIONS, lambda: None)
-        listed = endpoint_entry("s-0", server.address)
-        upstream.update_endpoints(parse_endpoint_list({"version": 1, "full": True, "servers": [listed]}))
-        outcomes: list[Outcome] = []
-
-        async def attempt() -> Outcome:
-            count = len(outcomes)
-            upstream.start(
-                Attempt(
-                    "s-0",
-                    2**60,
-                    lambda _time_left_us: OutgoingRequest(b"GET", b"/", [(b"host", b"x")]),
-                    lambda outcome, _response: outcomes.append(outcome),
-                )
-            )
-            await wait_until(lambda: len(outcomes) > count)
-            return outcomes[-1]
-
+        harness = UpstreamHarness(await ScriptedServer(OK).start(), max_connections=MAX_CONNECTIONS)
         ends_connections(True)
         for _ in range(MAX_CONNECTIONS + 1):
-            assert await attempt() is Outcome.CONNECT_FAILED
+            assert await harness.attempt() is Outcome.CONNECT_FAILED
         ends_connections(False)
-        assert await attempt() is Outcome.DELIVERED
-        upstream.close()
-        server.stop()
+        assert await harness.attempt() is Outcome.DELIVERED
+        harness.close()
 
     run_async(work)
 
--- a/tests/test_request_ids.py
+++ b/tests/test_request_ids.py
@@ -18,6 +18,7 @@
     wait_until,
 )
 from test_hot_restart import running_platform
+from upstream_harness import FakeClock
 
 from sidecar import request_ids
 from sidecar.clock import Clock
@@ -25,14 +26,6 @@
 from sidecar.request_ids import RequestIdTable
 
 
-class FakeClock(Clock):
-    def __init__(self) -> None:
-        self.time = 1_000_000
-
-    def now(self) -> int:
-        return self.time
-
-
 def make_table(directory: Path | None = None, clock: Clock | None = None) -> RequestIdTable:
     return RequestIdTable(clock or FakeClock(), directory, lambda event: pytest.fail(str(event)))
 
--- a/tests/test_second_responses.py
+++ b/tests/test_second_responses.py
@@ -4,50 +4,23 @@
 
 import asyncio
 
-from loopback import OK, ScriptedServer, endpoint_entry, run_async, wait_until
+from loopback import OK, ScriptedServer, run_async, wait_until
+from upstream_harness import FakeClock, UpstreamHarness
 
 from balancer.events import Outcome
-from balancer.settings import Limits
-from sidecar.clock import Clock
-from sidecar.discovery.endpoint_list import parse_endpoint_list
 from sidecar.upstream import connection_pool
-from sidecar.upstream.attempt import Attempt
-from sidecar.upstream.http_exchange import OutgoingRequest
-from sidecar.upstream.upstream import Upstream
 
 
-class FakeClock(Clock):
-    def __init__(self) -> None:
-        self.time = 1_000_000
-
-    def now(self) -> int:
-        return self.time
-
-
-class Setup:
-    """An `Upstream` with one server, and a clock that is set by the test."""
+class Setup(UpstreamHarness):
+    """One server, and a clock that is set by the test."""
 
     def __init__(self, server: ScriptedServer) -> None:
-        self.server, self.clock = server, FakeClock()
-        limits = Limits(connect_timeout_us=60_000_000, idle_timeout_us=3_600_000_000)
-        self.upstream = Upstream(self.clock, limits, 16, lambda: None)
-        listed = endpoint_entry("s-0", server.address)
-        self.upstream.update_endpoints(parse_endpoint_list({"version": 1, "full": True, "servers": [listed]}))
-        self.outcomes: list[Outcome] = []
+        self.clock = FakeClock()
+        super().__init__(server, self.clock)
 
     async def connections_after_an_attempt(self) -> int:
         """Send an attempt; return how many connections the server has accepted by then."""
-        count = len(self.outcomes)
-        self.upstream.start(
-            Attempt(
-                "s-0",
-                2**60,
-                lambda _time_left_us: OutgoingRequest(b"GET", b"/", [(b"host", b"x")]),
-                lambda outcome, _response: self.outcomes.append(outcome),
-            )
-        )
-        await wait_until(lambda: len(self.outcomes) > count)
-        assert self.outcomes[-1] is Outcome.DELIVERED
+        assert await self.attempt() is Outcome.DELIVERED
         return self.server.connection_count
 
     async def send_unsolicited(self, data: bytes) -> None:
@@ -60,8 +33,7 @@
 def test_connections_rest_before_their_reuse_once_a_server_has_answered_twice() -> None:
     # Guards against responses that go to the clients of other requests.
     async def work() -> None:
-        server = await ScriptedServer(OK).start()
-        setup = Setup(server)
+        setup = Setup(await ScriptedServer(OK).start())
         assert [await setup.connections_after_an_attempt() for _ in range(2)] == [1, 1]
         await setup.send_unsolicited(OK)
         assert [await setup.connections_after_an_attempt() for _ in range(2)] == [2, 3]
@@ -69,8 +41,7 @@
         assert [await setup.connections_after_an_attempt() for _ in range(3)] == [3, 3, 4]
         setup.clock.time += connection_pool._RESTS_FOR_US
         assert [await setup.connections_after_an_attempt() for _ in range(3)] == [4, 4, 4]
-        setup.upstream.close()
-        server.stop()
+        setup.close()
 
     run_async(work)
 
@@ -78,30 +49,26 @@
 def test_data_on_a_connection_that_was_idle_for_long_is_no_second_response() -> None:
     # Guards against the cost of resting connections where servers announce that they close idle ones.
     async def work() -> None:
-        server = await ScriptedServer(OK).start()
-        setup = Setup(server)
+        setup = Setup(await ScriptedServer(OK).start())
         assert await setup.connections_after_an_attempt() == 1
         setup.clock.time += connection_pool._MAX_SECOND_RESPONSE_DELAY_US
         await setup.send_unsolicited(b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n\r\n")
         assert [await setup.connections_after_an_attempt() for _ in range(2)] == [2, 2]
-        setup.upstream.close()
-        server.stop()
+        setup.close()
 
     run_async(work)
 
 
 def test_second_response_that_is_unread_at_the_next_attempt_counts() -> None:
     async def work() -> None:
-        server = await ScriptedServer(OK).start()
-        setup = Setup(server)
+        setup = Setup(await ScriptedServer(OK).start())
         assert await setup.connections_after_an_attempt() == 1
         idle = setup.upstream._pool.endpoints["s-0"].idle[0].connection
         idle.pause()  # as if the event loop had not come to reading it
-        server.requests[-1].writer.write(OK)
+        setup.server.requests[-1].writer.write(OK)
         await asyncio.sleep(0)
         await wait_until(idle.has_unsolicited_data)
         assert [await setup.connections_after_an_attempt() for _ in range(2)] == [2, 3]
-        setup.upstream.close()
-        server.stop()
+        setup.close()
 
     run_async(work)
--- a/tests/test_upstream_reading.py
+++ b/tests/test_upstream_reading.py
@@ -16,15 +16,11 @@
     running_sidecar,
     wait_until,
 )
+from upstream_harness import UpstreamHarness
 
 from balancer.events import Outcome
-from balancer.settings import Limits
-from sidecar.clock import Clock
-from sidecar.discovery.endpoint_list import parse_endpoint_list
 from sidecar.downstream.connection import DownstreamConnection
-from sidecar.upstream.attempt import Attempt
-from sidecar.upstream.http_exchange import OutgoingRequest, Response, UpstreamConnection
-from sidecar.upstream.upstream import Upstream
+from sidecar.upstream.http_exchange import Response, UpstreamConnection
 
 BODY = LONG_BODY[:70_000]
 
@@ -43,32 +39,17 @@
 def test_connection_whose_response_ended_in_a_pause_is_read_again() -> None:
     # Guards against requests that time out because the client of an earlier one had paused their connection.
     async def work() -> None:
-        server = await ScriptedServer(http_response(BODY)).start()
-        upstream = Upstream(Clock(), Limits(connect_timeout_us=60_000_000), 4, lambda: None)
-        listed = endpoint_entry("s-0", server.address)
-        upstream.update_endpoints(parse_endpoint_list({"version": 1, "full": True, "servers": [listed]}))
-        outcomes: list[Outcome] = []
+        harness = UpstreamHarness(await ScriptedServer(http_response(BODY)).start())
 
         def start_streaming(
             _source: UpstreamConnection, beginning: Response, _length: int | None
         ) -> SinkThatFillsAtTheEnd:
             return SinkThatFillsAtTheEnd(beginning.body)
 
-        for number in (1, 2):
-            upstream.start(
-                Attempt(
-                    "s-0",
-                    2**60,
-                    lambda _time_left_us: OutgoingRequest(b"GET", b"/", [(b"host", b"x")]),
-                    lambda outcome, _response: outcomes.append(outcome),
-                    start_streaming,
-                )
-            )
-            await wait_until(lambda number=number: len(outcomes) == number)  # type: ignore[misc]
-        assert outcomes == [Outcome.DELIVERED] * 2
-        assert server.connection_count == 1
-        upstream.close()
-        server.stop()
+        for _ in range(2):
+            assert await harness.attempt(start_streaming) is Outcome.DELIVERED
+        assert harness.server.connection_count == 1
+        harness.close()
 
     run_async(work)
 
