--- a/sidecar/request_ids.py
+++ b/sidecar/request_ids.py
@@ -48,13 +48,12 @@
         """
         id_hash, bucket_at = _locate(request_id)
         owner, now = self._owner(number), self._clock.now()
-        slot_at, first_expiry = bucket_at, now + _RETENTION_US
-        for at in range(bucket_at, bucket_at + _BUCKET.size, _SLOT.size):
-            entry_hash, entry_owner, expires_at = _SLOT.unpack_from(self._memory, at)
-            if entry_hash == id_hash and expires_at > now:
-                return bool(entry_owner == owner)
-            if expires_at < first_expiry:
-                slot_at, first_expiry = at, expires_at
+        bucket = _BUCKET.unpack_from(self._memory, bucket_at)
+        hashes, owners, expiries = bucket[0::3], bucket[1::3], bucket[2::3]
+        slot = hashes.index(id_hash) if id_hash in hashes else expiries.index(min(expiries))
+        if hashes[slot] == id_hash and expiries[slot] > now:
+            return bool(owners[slot] == owner)
+        slot_at = bucket_at + slot * _SLOT.size
         _SLOT.pack_into(self._memory, slot_at, id_hash, owner, now + _RETENTION_US)
         return True
 
