--- a/tests/test_request_memory.py
+++ b/tests/test_request_memory.py
@@ -17,6 +17,7 @@
     wait_until,
     within_timeout,
 )
+from memory_use import peak_memory_mb
 from test_program import running_program
 
 from sidecar.downstream.flow_control import MAX_READ_BYTES, read_limit
@@ -123,11 +124,6 @@
     assert read_limit(192, 85) == MAX_READ_BYTES
 
 
-def peak_memory_mb(process_id: int) -> float:
-    status = Path(f"/proc/{process_id}/status").read_text(encoding="ascii")
-    return int(status.partition("VmHWM:")[2].split()[0]) / 1_024
-
-
 def test_process_stays_within_its_memory_with_hundreds_of_slow_clients(tmp_path: Path) -> None:
     # Guards against a process that is killed for its memory, with as many clients as its descriptors allow.
     async def work() -> None:
