Keep nothing of a request in memory once it has ended

Cause: objects in reference cycles, which stay until a full run of the garbage collector; it goes by the number of objects, not by their bytes, so some thousand bodies waited for it. OpenRequest refers to its attempts and each attempt's `is_wanted` referred to the request; a connection to a server kept the callbacks of its last exchange, which lead to the request, also while idle in the pool; each reader referred to itself by a bound method, each chunk decoder by its parser.

Evidence: what the collector finds after each kind of ending (DEBUG_SAVEALL): IncomingRequest, OpenRequest, Attempt, readers, and in some also both connections. Ruled out: a leak without end (it levels off), the allocator (M_MMAP_THRESHOLD changes nothing).

Change: attempts know their request by its number; an exchange's callbacks, head and body are dropped when it ends; the reader's step is a function of its class; chunks are collected by an object that does not refer to the parser. The code is plain reference counting then, so memory is free when the request ends.

--- a/sidecar/attempts.py
+++ b/sidecar/attempts.py
@@ -50,12 +50,8 @@
         ) -> ResponseSink | None:
             return self._response_started(number, attempt_number, source, head, length)
 
-        def is_wanted() -> bool:
-            return request.client is not None and not request.client.has_disconnected()
-
-        def may_execute() -> bool:
-            return self._requests.claim_id(number)
-
+        # These functions must not refer to `request`, which refers to its attempts: objects in reference
+        # cycles stay in memory, with the request's body, until the garbage collector finds them.
         attempt = Attempt(
             action.server,
             action.deadline,
@@ -63,8 +59,8 @@
             on_ended,
             on_streaming_response,
             action.send_by,
-            is_wanted,
-            may_execute,
+            is_wanted=lambda: self._requests.is_awaited(number),
+            may_execute=lambda: self._requests.claim_id(number),
         )
         attempt.sent_at = self._clock.now()
         request.attempts.append(attempt)
--- a/sidecar/http/chunked.py
+++ b/sidecar/http/chunked.py
@@ -18,32 +18,40 @@
 
 
 class ChunkedBody:
-    """The decoder of one body.  `has_trailing_data` says whether bytes were received beyond its end."""
+    """The decoder of one body."""
 
     def __init__(self) -> None:
-        self.is_complete = False
-        self.has_trailing_data = False
-        self._pieces: list[bytes] = []
         self._last_bytes = b""
         self._framing_bytes = 0  # read since the last call of `feed` that read a chunk header
-        self._new_chunks = 0  # whose header was read by the current call of `feed`
-        self._parser = HttpRequestParser(self)
+        self._chunks = _ChunkCollector()
+        self._parser = HttpRequestParser(self._chunks)
         self._parser.feed_data(_PARSER_HEAD)
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether the body has ended."""
+        return self._chunks.is_complete
+
+    @property
+    def has_trailing_data(self) -> bool:
+        """Whether bytes were received beyond the body's end."""
+        return self._chunks.has_trailing_data
+
     def feed(self, data: bytes) -> bytes:
         """Return the part of the body in received bytes; raise MalformedMessageError on invalid framing."""
+        chunks = self._chunks
         try:
             self._parser.feed_data(data)
         except HttpParserError as error:
-            if not self.is_complete:
+            if not chunks.is_complete:
                 raise MalformedMessageError(f"chunks: {error}") from None
-            self.has_trailing_data = True
-        pieces, self._pieces = self._pieces, []
+            chunks.has_trailing_data = True
+        pieces, chunks.pieces = chunks.pieces, []
         body = pieces[0] if len(pieces) == 1 else b"".join(pieces)
         self._limit_framing(len(data) - len(body))
         self._last_bytes = (self._last_bytes + data[-5:])[-5:]
-        if self.is_complete and not _LAST_LINE_AND_EMPTY_LINE.fullmatch(self._last_bytes):
-            self.has_trailing_data = True  # line ends, which llhttp skips before a message
+        if chunks.is_complete and not _LAST_LINE_AND_EMPTY_LINE.fullmatch(self._last_bytes):
+            chunks.has_trailing_data = True  # line ends, which llhttp skips before a message
         return body
 
     def _limit_framing(self, framing_bytes: int) -> None:
@@ -51,13 +59,23 @@
 
         A body may have any number of chunks, and each of them may carry an extension.
         """
-        new_chunks, self._new_chunks = self._new_chunks, 0
+        new_chunks, self._chunks.new_chunks = self._chunks.new_chunks, 0
         self._framing_bytes += framing_bytes
         if self._framing_bytes > MAX_FRAMING_BYTES * (new_chunks + 1):
             raise MalformedMessageError("chunks: too much beside the body")
         if new_chunks:
             self._framing_bytes = 0
 
+
+class _ChunkCollector:
+    """Collects what llhttp parses; apart from `ChunkedBody`, as the parser refers to it (no cycle)."""
+
+    def __init__(self) -> None:
+        self.is_complete = False
+        self.has_trailing_data = False
+        self.pieces: list[bytes] = []
+        self.new_chunks = 0  # whose header was read by the current call of `feed`
+
     # Called by llhttp
 
     def on_message_begin(self) -> None:
@@ -66,12 +84,12 @@
 
     def on_chunk_header(self) -> None:
         """Called by the parser: a chunk begins."""
-        self._new_chunks += 1
+        self.new_chunks += 1
 
     def on_body(self, body: bytes) -> None:
         """Called by the parser: a piece of the body."""
         if not self.is_complete:
-            self._pieces.append(body)
+            self.pieces.append(body)
 
     def on_message_complete(self) -> None:
         """Called by the parser: the body has ended."""
--- a/sidecar/http/reader.py
+++ b/sidecar/http/reader.py
@@ -46,7 +46,8 @@
         self._keeps_alive = False
         self.is_in_body = False  # the head was read, but not the complete body
         self.is_complete = False
-        self._step: Callable[[], Head | bytes | Signal] = self._read_head
+        # A method of the class, as a method of this object would refer back to it (a reference cycle).
+        self._step: Callable[[_MessageReader[Head]], Head | bytes | Signal] = _MessageReader._read_head
 
     def receive(self, data: bytes) -> None:
         """Add bytes that were received."""
@@ -61,12 +62,13 @@
 
         Raise MalformedMessageError, after which the reader can't be used any more.
         """
-        return self._step()
+        return self._step(self)
 
     def start_next(self) -> None:
         """Read the next message after a complete one."""
         self.is_complete = False
-        self._step = self._read_head
+        self._chunked = None
+        self._step = _MessageReader._read_head
 
     @property
     def is_idle(self) -> bool:
@@ -129,12 +131,12 @@
         self.is_in_body = True
         self._keeps_alive = keeps_alive and (is_chunked or length is not None)
         if is_chunked:
-            self._step = self._read_chunks
+            self._step = _MessageReader._read_chunks
         elif length is None:
-            self._step = self._read_until_close
+            self._step = _MessageReader._read_until_close
         else:
             self._bytes_left = length
-            self._step = self._read_fixed_length if length else self._end
+            self._step = _MessageReader._read_fixed_length if length else _MessageReader._end
 
     def _read_fixed_length(self) -> Head | bytes | Signal:
         piece = self._unread
@@ -146,7 +148,7 @@
             self._unread = b""
         self._bytes_left -= len(piece)
         if not self._bytes_left:
-            self._step = self._end
+            self._step = _MessageReader._end
         return piece
 
     def _read_chunks(self) -> Head | bytes | Signal:
@@ -156,7 +158,7 @@
         data, self._unread = self._unread, b""
         piece = self._chunked.feed(data)
         if self._chunked.is_complete:
-            self._step = self._end
+            self._step = _MessageReader._end
             return piece or self._end()
         return piece or Signal.NEED_DATA
 
@@ -165,7 +167,7 @@
         return piece or (self._end() if self._has_peer_closed else Signal.NEED_DATA)
 
     def _end(self) -> Head | bytes | Signal:
-        self._step = self._read_after_end
+        self._step = _MessageReader._read_after_end
         self.is_in_body = False
         self.is_complete = True
         return Signal.END
--- a/sidecar/open_requests.py
+++ b/sidecar/open_requests.py
@@ -105,6 +105,11 @@
         request = self._requests.get(number)
         return request is None or request.client is None
 
+    def is_awaited(self, number: int) -> bool:
+        """Return whether the client of an unanswered request is still connected, according to its socket."""
+        request = self._requests.get(number)
+        return request is not None and request.client is not None and not request.client.has_disconnected()
+
     def claim_id(self, number: int) -> bool:
         """Return whether a request may be executed, before it is written to a server.
 
--- a/sidecar/upstream/http_exchange.py
+++ b/sidecar/upstream/http_exchange.py
@@ -230,7 +230,7 @@
         is_dropping_request = self._on_result is not None and not self._is_closed
         if is_dropping_request and self._socket is not None and self._socket.unsent_bytes():
             self._socket.discard_unsent()
-        self._on_result = None
+        self._forget_exchange()
         self._end_streaming()
         if self._transport is not None and not self._is_closed:
             if self._socket is not None:
@@ -335,9 +335,9 @@
         if self._sink is not None or self._head is None or self._on_result is None:
             return
         if self._head.status != 200:
-            on_result = self._on_result
+            on_result, head = self._on_result, self._head
             self.close()
-            on_result(Response(self._head.status, self._head.headers, b""))  # only its head is used
+            on_result(Response(head.status, head.headers, b""))  # only its head is used
             return
         if self._on_streaming_response is None:
             self._fail(ExchangeFailure.MALFORMED_RESPONSE)
@@ -362,8 +362,8 @@
         assert self._socket is not None
         unread_us = self._socket.unread_us()
         response = Response(self._head.status, self._head.headers, bytes(self._body), unread_us)
-        self._body = bytearray()
-        on_result, self._on_result = self._on_result, None
+        on_result = self._on_result
+        self._forget_exchange()
         # A response that arrives while the request is still being sent ends the connection.
         is_early = self._is_writing_paused or self._upload is not None
         self._end_streaming()
@@ -377,6 +377,12 @@
         if on_result is not None:
             on_result(response)
 
+    def _forget_exchange(self) -> None:
+        """Drop what refers to the exchange, as an idle connection must keep no request in memory."""
+        self._on_result = self._on_written = self._on_streaming_response = None
+        self._head = None
+        self._body = bytearray()
+
     def _fail(self, failure: ExchangeFailure) -> None:
         on_result = self._on_result
         self.close()
