--- a/sidecar/__main__.py
+++ b/sidecar/__main__.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import faulthandler
 import gc
 import os
 import signal
@@ -80,6 +81,7 @@
 
 def main() -> int:
     """Run a sidecar that is configured by environment variables; return the exit code."""
+    faulthandler.enable()  # a fatal signal such as SIGSEGV, SIGBUS or SIGABRT leaves a traceback in the log
     try:
         configuration = load(os.environ)
         listener = inherited_listener(configuration)
--- a/sidecar/log_events.py
+++ b/sidecar/log_events.py
@@ -91,6 +91,25 @@
     error: BaseException | None
 
 
+@dataclass(frozen=True, slots=True)
+class MemoryHigh(LogEvent):
+    """The process is near its memory limit: how much of what peers sent it holds, and for how many."""
+
+    name = "memory_high"
+    template = (
+        "{used_mb} of {limit_mb} MB; kB held: requests {request_kb}, long bodies {upload_kb}; open: requests"
+        " {open_requests}, connections of clients {client_connections}, to servers {server_connections}"
+    )
+
+    used_mb: int
+    limit_mb: int
+    request_kb: int
+    upload_kb: int
+    open_requests: int
+    client_connections: int
+    server_connections: int
+
+
 @dataclass(frozen=True, slots=True)
 class LinesDropped(LogEvent):
     """The log's rate limit suppressed this number of lines before this one."""
--- a/sidecar/sidecar.py
+++ b/sidecar/sidecar.py
@@ -23,7 +23,8 @@
 from sidecar.event_dispatcher import EventDispatcher
 from sidecar.graceful_shutdown import GracefulShutdown
 from sidecar.hot_restart import ConnectionLimits, HotRestart, connection_limits
-from sidecar.log_events import EventLog
+from sidecar.log_events import EventLog, MemoryHigh
+from sidecar.memory_monitor import MemoryMonitor
 from sidecar.metrics import Metrics
 from sidecar.open_requests import OpenRequests
 from sidecar.persisted_exclusions import PersistedExclusions
@@ -69,6 +70,7 @@
         )
         self.administration = self._create_administration()
         self.admin_interface = self._create_admin_interface()
+        self._memory_monitor = MemoryMonitor(configuration.memory_mb, self._describe_memory, log)
 
     async def start(self) -> None:
         """Apply the last known endpoint list and exclusions, then accept clients.
@@ -83,6 +85,7 @@
         self._dispatcher.dispatch(configuration.known_endpoints.event(EndpointListKind.CACHED))
         self._exclusions.restore(watch=self._listener is not None)
         self._hot_restart.watch(self._resize_upstream)
+        self._memory_monitor.start()
         self._discovery.start()
         await self._discovery.wait_for_first_list(_FIRST_LIST_TIMEOUT_S)
         self.downstream.listen(self._listener or bind_listener(configuration.listen_address))
@@ -141,6 +144,7 @@
         """Close all sockets and stop all timers at once."""
         if self.admin_interface is not None:
             self.admin_interface.close()
+        self._memory_monitor.close()
         self._exclusions.close()
         self._hot_restart.close()
         self._discovery.close()
@@ -169,6 +173,17 @@
         process_count = 1 if self._listener is None else 2
         return self._configuration.memory_mb // process_count
 
+    def _describe_memory(self, used_mb: int) -> MemoryHigh:
+        return MemoryHigh(
+            used_mb,
+            self._configuration.memory_mb,
+            request_kb=self.downstream.request_memory.used_bytes >> 10,
+            upload_kb=self.downstream.upload_memory.used_bytes >> 10,
+            open_requests=self.open_requests,
+            client_connections=self.downstream.open_connections,
+            server_connections=self._upstream.open_connections,
+        )
+
     def _resize_upstream(self) -> None:
         self._upstream.resize(self._connection_limits().upstream)
 
--- a/sidecar/upstream/connection_pool.py
+++ b/sidecar/upstream/connection_pool.py
@@ -155,9 +155,14 @@
         if now - idle.since < _MAX_SECOND_RESPONSE_DELAY_US and idle.connection.has_unsolicited_data():
             self._rests_until = now + _RESTS_FOR_US
 
+    @property
+    def open_connections(self) -> int:
+        """The number of connections, including those being established."""
+        return len(self._endpoint_of) + self._connecting
+
     def has_capacity(self) -> bool:
         """Whether one more connection may be established; closes the longest idle one if that is needed."""
-        return len(self._endpoint_of) + self._connecting < self._max_connections or self._close_oldest()
+        return self.open_connections < self._max_connections or self._close_oldest()
 
     def connect(self, attempt: Attempt, endpoint: PooledEndpoint) -> None:
         """Establish a connection for an attempt; the caller has checked `has_capacity`."""
@@ -215,7 +220,7 @@
     def resize(self, max_connections: int) -> None:
         """Change the limit; the longest idle connections are closed to meet it."""
         self._max_connections = max_connections
-        while len(self._endpoint_of) + self._connecting > max_connections and self._close_oldest():
+        while self.open_connections > max_connections and self._close_oldest():
             pass
 
     def _close_oldest(self) -> bool:
--- a/sidecar/upstream/upstream.py
+++ b/sidecar/upstream/upstream.py
@@ -66,6 +66,11 @@
         """Close the idle connections to a server, if it is listed."""
         self._pool.close_idle(name)
 
+    @property
+    def open_connections(self) -> int:
+        """The number of connections, including those being established."""
+        return self._pool.open_connections
+
     def resize(self, max_connections: int) -> None:
         """Change the limit on connections; the longest idle ones are closed to meet it."""
         self._pool.resize(max_connections)
