Count a request's memory until its attempts have ended, not until its client leaves

Cause: the memory of requests was released when the client left, or got its response, though attempts still held the body. So ever new clients could send ever more bodies.

Change: the count goes with the request once it is accepted, and ends with it. MemoryBudget is in a module of its own, as more than the downstream side counts in it.

Measured: the new test failed before (0 bytes counted) and passes.

--- a/sidecar/downstream/body_streaming.py
+++ b/sidecar/downstream/body_streaming.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 
 from sidecar.downstream.flow_control import MAX_BUFFERED_BODY_BYTES
-from sidecar.downstream.memory_budget import MemoryBudget
 from sidecar.interfaces import RequestBodySink
+from sidecar.memory_budget import MemoryBudget
 
 
 class Upload:
--- a/sidecar/downstream/connection.py
+++ b/sidecar/downstream/connection.py
@@ -18,7 +18,6 @@
     MAX_BUFFERED_BODY_BYTES,
     STALL_TIMEOUT_S,
 )
-from sidecar.downstream.memory_budget import head_memory
 from sidecar.downstream.request_parsing import CHUNKED
 from sidecar.downstream.request_validation import InvalidRequestError
 from sidecar.http import (
@@ -33,6 +32,7 @@
     response_head,
 )
 from sidecar.interfaces import ResponseSource, Transport
+from sidecar.memory_budget import MemoryCharge, head_memory
 
 if TYPE_CHECKING:
     from sidecar.downstream.downstream import Downstream
@@ -52,7 +52,7 @@
         self._reader = RequestReader()
         self._head: RequestHead | None = None  # of the request that is arriving or pending
         self._body = bytearray()
-        self._held_bytes = 0  # of the request's head and buffered body, in the memory of all requests
+        self._memory = MemoryCharge(owner.request_memory)  # of a request that is not accepted yet
         self._source: ResponseSource | None = None  # of the response that is being streamed
         self._is_response_chunked = False
         self._response_bytes_left: int | None = None  # None: its length is not known
@@ -161,8 +161,7 @@
     def _hold_memory(self, count: int) -> bool:
         """Count memory of the request; return whether it may be used, otherwise the request was rejected."""
         memory = self._owner.request_memory
-        self._held_bytes += count
-        memory.hold(count)
+        self._memory.hold(count)
         if memory.is_exceeded:
             self._owner.free_request_memory()
             if memory.is_exceeded:
@@ -173,13 +172,12 @@
         """Reject a request that is arriving, because all requests together hold too much memory."""
         self._body = bytearray()
         self._reject(503, b"too many requests are arriving\n")
-        self._release_memory()
+        self._memory.release()
 
-    def _release_memory(self, count: int | None = None) -> None:
-        """Stop counting memory of the request; all of it by default."""
-        count = self._held_bytes if count is None else count
-        self._held_bytes -= count
-        self._owner.request_memory.release(count)
+    def _take_memory(self) -> MemoryCharge:
+        """Return the charge of the request, which counts until the request has ended."""
+        charge, self._memory = self._memory, MemoryCharge(self._owner.request_memory)
+        return charge
 
     # State, for the owner
 
@@ -282,7 +280,7 @@
             self._socket.release()
 
     def _handle_disconnect(self) -> None:
-        self._release_memory()
+        self._memory.release()
         self._discard_upload()
         self._source = None
         request, self._pending_request = self._pending_request, None
@@ -364,6 +362,7 @@
         # The deadline counts from when the client sent the request, not from when it was read.
         assert self._socket is not None
         incoming.remaining_us = max(incoming.remaining_us - self._socket.unread_us(), 1)
+        incoming.memory = self._take_memory()
         self._pending_request = self._owner.on_arrival(self, incoming)
         if self._pending_request is not None:
             self._enter(ConnectionState.AWAITING_RESPONSE)
@@ -378,7 +377,7 @@
 
     def _response_written(self, *, is_last: bool) -> None:
         assert self._transport is not None
-        self._release_memory()
+        self._memory.release()
         if not self._reader.is_reusable or is_last or self._is_reading_ended:
             self._head = None  # its memory is no longer counted
             self._linger()
@@ -409,7 +408,9 @@
             self._reject(400, f"{error}\n".encode())
             return
         buffered, self._body = bytes(self._body), bytearray()
-        self._release_memory(len(buffered))
+        self._memory.release()
+        self._memory.hold(head_memory(self._head))
+        incoming.memory = self._take_memory()
         self._upload, self._body_arrival = upload, BodyArrival(length)
         if buffered:
             upload.feed(buffered)
--- a/sidecar/downstream/downstream.py
+++ b/sidecar/downstream/downstream.py
@@ -13,9 +13,9 @@
 from sidecar.downstream.connection import DownstreamConnection
 from sidecar.downstream.flow_control import read_limit, write_buffer_limit
 from sidecar.downstream.listener import Listener
-from sidecar.downstream.memory_budget import MemoryBudget, request_memory_limit, upload_memory_limit
 from sidecar.downstream.request_parsing import IncomingRequest, parse_request
 from sidecar.http import RequestHead
+from sidecar.memory_budget import MemoryBudget, request_memory_limit, upload_memory_limit
 
 _FIRST_REQUEST_GRACE_S = 0.25  # an unused connection older than this is evicted before an idle one
 _MAX_CANDIDATES = 8  # connections of each table that are considered for eviction
--- a/sidecar/downstream/request_parsing.py
+++ b/sidecar/downstream/request_parsing.py
@@ -21,6 +21,7 @@
     validate_request_id,
 )
 from sidecar.http import Headers, RequestHead
+from sidecar.memory_budget import MemoryCharge
 from sidecar.upstream.http_exchange import OutgoingRequest
 
 CHUNKED = (b"transfer-encoding", b"chunked")
@@ -53,6 +54,12 @@
     headers: Headers  # as forwarded, without `request-timeout`
     body: bytes
     upload: Upload | None = None  # replaces `body` if the body is streamed
+    memory: MemoryCharge | None = None  # of the head and the buffered body
+
+    def release_memory(self) -> None:
+        """Stop counting the memory of the request, which has ended."""
+        if self.memory is not None:
+            self.memory.release()
 
     def to_outgoing(self, time_left_us: int) -> OutgoingRequest:
         """Return the request to write to a server, with the time left in its `request-timeout` header."""
--- a/sidecar/downstream/memory_budget.py
+++ b/sidecar/memory_budget.py
@@ -1,4 +1,4 @@
-"""Limits on the memory that clients' requests hold, each for all requests together."""
+"""Limits on the memory that is held for peers, each for all requests together."""
 
 from __future__ import annotations
 
@@ -47,3 +47,23 @@
     def is_exceeded(self) -> bool:
         """Whether more is held than the limit allows."""
         return self.used_bytes > self._limit_bytes
+
+
+class MemoryCharge:
+    """The bytes that one request counts in a budget."""
+
+    __slots__ = ("_budget", "held_bytes")
+
+    def __init__(self, budget: MemoryBudget) -> None:
+        self._budget = budget
+        self.held_bytes = 0
+
+    def hold(self, count: int) -> None:
+        """Count more bytes."""
+        self.held_bytes += count
+        self._budget.hold(count)
+
+    def release(self) -> None:
+        """Stop counting all bytes, as they are no longer held."""
+        self._budget.release(self.held_bytes)
+        self.held_bytes = 0
--- a/sidecar/open_requests.py
+++ b/sidecar/open_requests.py
@@ -161,5 +161,6 @@
         request = self._requests.get(number)
         if request is not None and request.client is None and request.attempts_in_flight == 0:
             del self._requests[number]
+            request.incoming.release_memory()
             if request.has_claimed_id and self._request_ids is not None and not request.may_have_executed:
                 self._request_ids.release(request.incoming.request_id, number)
--- a/tests/test_request_memory.py
+++ b/tests/test_request_memory.py
@@ -21,7 +21,7 @@
 from test_program import running_program
 
 from sidecar.downstream.flow_control import MAX_READ_BYTES, read_limit
-from sidecar.downstream.memory_budget import HEADER_FIELD_BYTES, request_memory_limit
+from sidecar.memory_budget import HEADER_FIELD_BYTES, request_memory_limit
 
 MEMORY_MB = 4
 LIMITS = {"limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 1_024}}
@@ -97,6 +97,29 @@
     run_async(work)
 
 
+def test_request_counts_as_memory_until_its_attempts_have_ended() -> None:
+    # Guards against bodies that are not counted, as their clients have left, while attempts still send them.
+    async def work() -> None:
+        release = asyncio.Event()
+
+        async def hold(_request: ReceivedRequest) -> bytes:
+            await release.wait()
+            return OK
+
+        async with running_sidecar(hold, configuration=LIMITS, bounds={"mayCancel": False}) as harness:
+            client = await harness.client()
+            client.send(request_bytes("lodge", body=BODY, timeout="30"))
+            await wait_until(lambda: len(harness.requests) == 1)
+            client.close()
+            await wait_until(lambda: harness.sidecar.unanswered_requests == 0)
+            assert used_bytes(harness) > len(BODY)
+            release.set()
+            await wait_until(lambda: harness.sidecar.open_requests == 0)
+            assert used_bytes(harness) == 0
+
+    run_async(work)
+
+
 def test_pending_requests_are_not_ended_for_want_of_memory() -> None:
     async def work() -> None:
         release = asyncio.Event()
--- a/tests/test_unread_bodies.py
+++ b/tests/test_unread_bodies.py
@@ -23,7 +23,7 @@
 from sidecar.downstream import body_arrival
 from sidecar.downstream.body_arrival import BodyArrival
 from sidecar.downstream.body_streaming import Upload
-from sidecar.downstream.memory_budget import MemoryBudget
+from sidecar.memory_budget import MemoryBudget
 from sidecar.upstream import upstream
 
 BUFFER = body_arrival.MAX_CLIENT_SEND_BUFFER_BYTES
