Count what long bodies hold while no server takes them yet

Seen: 341 clients that post 1 MiB while servers accept connections late took the process to 88 MB of 64.

Cause: the first 64 KiB of a streamed body are buffered until an attempt is connected, and were counted nowhere.

Change: they count in the memory of all uploads. Where it is used up, reading from the client is paused until the attempt is connected.

--- a/sidecar/downstream/body_streaming.py
+++ b/sidecar/downstream/body_streaming.py
@@ -13,7 +13,8 @@
     """A streamed request body, between the client that sends it and the exchange that forwards it.
 
     Until a sink is attached, the beginning of the body is buffered, and reading from the client is paused
-    when the buffer is full.  What was passed to a sink is not stored, so only one sink can get the body.
+    when the buffer is full or the memory of all uploads is used up.  What was passed to a sink is not stored,
+    so only one sink can get the body.
 
     While the sink can't take more, reading goes on within the memory of all uploads: a client that has sent
     its last byte can only be told from one that is still sending by reading what it has sent.
@@ -28,7 +29,7 @@
     ) -> None:
         """`pause` and `resume` stop and restart reading from the client; they may be called repeatedly.
 
-        Without `memory`, reading is paused as soon as the sink can't take more.
+        Without `memory`, reading is paused as soon as the sink can't take more, or the buffer is full.
         """
         self.length = length  # in bytes; None: not known in advance
         self.is_consumed = False  # it was passed to a sink and can't be sent again
@@ -39,7 +40,7 @@
         self._buffered_bytes = 0
         self._sink: RequestBodySink | None = None
         self._memory = memory
-        self._held_bytes = 0  # passed to the sink, which waits for its server
+        self._held_bytes = 0  # buffered, or passed to the sink, which waits for its server
 
     def feed(self, data: bytes) -> None:
         """Forward or buffer a piece of the body that the client sent."""
@@ -49,7 +50,8 @@
         elif not self.is_consumed:
             self._buffered.append(data)
             self._buffered_bytes += len(data)
-            if self._buffered_bytes >= MAX_BUFFERED_BODY_BYTES:
+            may_continue = self._hold(len(data)) or self._memory is None
+            if not may_continue or self._buffered_bytes >= MAX_BUFFERED_BODY_BYTES:
                 self._pause()
 
     def end(self) -> None:
@@ -63,6 +65,7 @@
         self._sink = sink
         self.is_consumed = True
         buffered, self._buffered = self._buffered, []
+        self.release_memory()
         may_continue = True
         for piece in buffered:
             may_continue = sink.send_body(piece) or self._hold(len(piece))
@@ -85,6 +88,12 @@
             self.release_memory()
             self._resume()
 
+    def discard(self) -> None:
+        """Discard what is buffered, because the request has ended."""
+        self.is_consumed = True
+        self._buffered = []
+        self.release_memory()
+
     def release_memory(self) -> None:
         """Stop counting what the sink held; called once it has passed everything on, or has discarded it."""
         if self._memory is not None:
--- a/sidecar/downstream/request_parsing.py
+++ b/sidecar/downstream/request_parsing.py
@@ -60,6 +60,8 @@
         """Stop counting the memory of the request, which has ended."""
         if self.memory is not None:
             self.memory.release()
+        if self.upload is not None:
+            self.upload.discard()
 
     def to_outgoing(self, time_left_us: int) -> OutgoingRequest:
         """Return the request to write to a server, with the time left in its `request-timeout` header."""
--- a/tests/test_unread_bodies.py
+++ b/tests/test_unread_bodies.py
@@ -244,3 +244,18 @@
     upload.feed(bytes(1_000))
     upload.detach(sink)
     assert memory.used_bytes == 0
+
+
+def test_uploads_that_wait_for_a_connection_share_their_memory() -> None:
+    # Guards against a process that is killed for its memory while servers accept connections late.
+    calls: list[str] = []
+    memory = MemoryBudget(50_000)
+    uploads = [Upload(None, lambda: calls.append("pause"), lambda: None, memory) for _ in range(2)]
+    uploads[0].feed(bytes(40_000))
+    assert calls == []
+    uploads[1].feed(bytes(40_000))
+    assert calls == ["pause"] and memory.used_bytes == 80_000
+    uploads[0].discard()
+    uploads[1].attach(ClosedSink())
+    uploads[1].release_memory()
+    assert memory.used_bytes == 0
