Divide the memory that the process and its connections leave, not the whole limit

Seen: 30.3 to 36.0 MB of 32, with 256 descriptors, in probes of seven kinds of crowds, on the commit before (compiled, 5 s each).

Cause: each purpose had a fraction of the whole limit (a fifth for requests, a sixteenth for long bodies, an eighth for clients' buffers), whatever the process needs at rest (28 MB) and for its connections. Together they could pass a small limit.

Change: MemoryLimits divides what is left, three quarters of it, between requests, long bodies, responses and clients' buffers.

--- a/sidecar/downstream/downstream.py
+++ b/sidecar/downstream/downstream.py
@@ -11,11 +11,11 @@
 from sidecar.downstream.body_streaming import Upload
 from sidecar.downstream.client_transport import CLIENT_TIMEOUT_S
 from sidecar.downstream.connection import DownstreamConnection
-from sidecar.downstream.flow_control import read_limit, write_buffer_limit
 from sidecar.downstream.listener import Listener
 from sidecar.downstream.request_parsing import IncomingRequest, parse_request
 from sidecar.http import RequestHead
-from sidecar.memory_budget import MemoryBudget, request_memory_limit, upload_memory_limit
+from sidecar.memory_budget import MemoryBudget
+from sidecar.memory_limits import MemoryLimits
 
 _FIRST_REQUEST_GRACE_S = 0.25  # an unused connection older than this is evicted before an idle one
 _MAX_CANDIDATES = 8  # connections of each table that are considered for eviction
@@ -36,7 +36,7 @@
         self,
         settings: Settings,
         max_connections: int,
-        memory_mb: int,
+        memory_limits: MemoryLimits,
         on_arrival: Callable[[DownstreamConnection, IncomingRequest], int | None],
         on_complete: Callable[[int, int], None],
         on_unread_body: Callable[[int, int], None],
@@ -50,10 +50,10 @@
         server takes what comes before it.  `on_disconnect` is called with the number when the client
         disconnects before its response.
         """
-        self.write_buffer_bytes = write_buffer_limit(memory_mb, max_connections)
-        self.max_read_bytes = read_limit(memory_mb, max_connections)
-        self.request_memory = MemoryBudget(request_memory_limit(memory_mb))
-        self.upload_memory = MemoryBudget(upload_memory_limit(memory_mb))
+        self.write_buffer_bytes = memory_limits.write_buffer
+        self.max_read_bytes = memory_limits.read
+        self.request_memory = MemoryBudget(memory_limits.requests)
+        self.upload_memory = MemoryBudget(memory_limits.uploads)
         self.on_arrival = on_arrival
         self.on_complete = on_complete
         self.on_unread_body = on_unread_body
--- a/sidecar/downstream/flow_control.py
+++ b/sidecar/downstream/flow_control.py
@@ -10,39 +10,21 @@
 import asyncio
 
 from sidecar.interfaces import Transport
+from sidecar.memory_limits import MAX_READ_BYTES
 
 MAX_BUFFERED_BODY_BYTES = 64 << 10
 MAX_BODY_BYTES = 32 << 20
 STALL_TIMEOUT_S = 10.0  # without any progress of a streamed body
 
-MAX_READ_BYTES = 64 << 10
-_MIN_READ_BYTES = 16 << 10
 _RECEIVE_BUFFER = bytearray(MAX_READ_BYTES)  # shared by all connections: copied out at once
 _RECEIVE_VIEW = memoryview(_RECEIVE_BUFFER)
 _MIN_BODY_BYTES_PER_S = 58_000.0  # clients that keep to the platform's protocol send faster
-_MEMORY_FRACTION = 1 / 8  # of the process's memory, for all streamed bodies together
-_MIN_WRITE_BUFFER_BYTES = 4 << 10
-_MAX_WRITE_BUFFER_BYTES = 64 << 10
-
-
-def write_buffer_limit(memory_mb: int, connections: int) -> int:
-    """Return the limit on the write buffer of one client connection, in bytes."""
-    equal_part = int((memory_mb << 20) * _MEMORY_FRACTION / max(connections, 1))
-    return max(_MIN_WRITE_BUFFER_BYTES, min(equal_part, _MAX_WRITE_BUFFER_BYTES))
-
-
-def read_limit(memory_mb: int, connections: int) -> int:
-    """Return how much is read at a time from a client or server, in bytes.
-
-    Each read may have to be buffered beyond the limit on the receiver's write buffer.
-    """
-    return max(_MIN_READ_BYTES, min(write_buffer_limit(memory_mb, connections), MAX_READ_BYTES))
 
 
 class BoundedReader(asyncio.BufferedProtocol):
     """A protocol that reads a limited number of bytes at a time, however much data the socket holds."""
 
-    max_read_bytes = MAX_READ_BYTES  # a read of less has emptied the socket
+    max_read_bytes = MAX_READ_BYTES
 
     def get_buffer(self, _sizehint: int) -> memoryview:
         """Called by the event loop: return the buffer that the next piece is received into."""
--- a/sidecar/memory_budget.py
+++ b/sidecar/memory_budget.py
@@ -6,19 +6,6 @@
 
 HEADER_FIELD_BYTES = 140  # of a parsed field beside its text: a tuple, two bytes objects, places in lists
 
-_REQUEST_FRACTION = 1 / 5  # of the process's memory, for heads and buffered bodies
-_UPLOAD_FRACTION = 1 / 16  # of the process's memory, for streamed bodies that servers have not taken
-
-
-def request_memory_limit(memory_mb: int) -> int:
-    """Return the limit on heads and buffered bodies, in bytes."""
-    return int((memory_mb << 20) * _REQUEST_FRACTION)
-
-
-def upload_memory_limit(memory_mb: int) -> int:
-    """Return the limit on the parts of streamed bodies that wait for their servers, in bytes."""
-    return int((memory_mb << 20) * _UPLOAD_FRACTION)
-
 
 def head_memory(head: RequestHead) -> int:
     """Return about how many bytes a parsed head holds."""
--- a/sidecar/sidecar.py
+++ b/sidecar/sidecar.py
@@ -18,12 +18,12 @@
 from sidecar.discovery.discovery import Discovery
 from sidecar.discovery.endpoint_list import EndpointList
 from sidecar.downstream.downstream import Downstream
-from sidecar.downstream.flow_control import read_limit
 from sidecar.downstream.listener import bind_listener
 from sidecar.event_dispatcher import EventDispatcher
 from sidecar.graceful_shutdown import GracefulShutdown
 from sidecar.hot_restart import ConnectionLimits, HotRestart, connection_limits
 from sidecar.log_events import EventLog, MemoryHigh
+from sidecar.memory_limits import MemoryLimits
 from sidecar.memory_monitor import MemoryMonitor
 from sidecar.metrics import Metrics
 from sidecar.open_requests import OpenRequests
@@ -55,6 +55,7 @@
         self._hot_restart = HotRestart(self._create_process_lock())
         self._persisted_exclusions = self._create_persisted_exclusions()
         self._metrics = Metrics(service_class.name for service_class in configuration.settings.classes)
+        self._memory_limits = self._divide_memory()
         self._upstream = self._create_upstream()
         self._request_ids = self._create_request_ids()
         self._requests = OpenRequests(self._metrics, self._upstream.withdraw, self._request_ids)
@@ -167,11 +168,13 @@
             is_only_process=self._hot_restart.is_only_process,
         )
 
-    @property
-    def _memory_mb(self) -> int:
-        """The memory of this process: during a hot restart, two processes share the limit of one sidecar."""
+    def _divide_memory(self) -> MemoryLimits:
+        """Divide the memory; during a hot restart, two processes share the limit of one sidecar."""
         process_count = 1 if self._listener is None else 2
-        return self._configuration.memory_mb // process_count
+        connections = self._connection_limits()
+        return MemoryLimits.of_process(
+            self._configuration.memory_mb // process_count, connections.downstream, connections.upstream
+        )
 
     def _describe_memory(self, used_mb: int) -> MemoryHigh:
         return MemoryHigh(
@@ -216,7 +219,7 @@
             self._connection_limits().upstream,
             self._metrics.attempt_sent,
             before_writing,
-            read_limit(self._memory_mb, self._connection_limits().downstream),
+            self._memory_limits.read,
         )
 
     def _create_cluster(self) -> ClusterService:
@@ -265,7 +268,7 @@
         return Downstream(
             self._configuration.settings,
             self._connection_limits().downstream,
-            self._memory_mb,
+            self._memory_limits,
             intake.request_received,
             intake.body_completed,
             intake.body_unread,
--- a/sidecar/upstream/connection_pool.py
+++ b/sidecar/upstream/connection_pool.py
@@ -12,7 +12,8 @@
 from sidecar.address import Address
 from sidecar.clock import Clock
 from sidecar.discovery.endpoint_list import EndpointList
-from sidecar.downstream.flow_control import MAX_BUFFERED_BODY_BYTES, MAX_READ_BYTES
+from sidecar.downstream.flow_control import MAX_BUFFERED_BODY_BYTES
+from sidecar.memory_limits import MAX_READ_BYTES
 from sidecar.upstream.attempt import Attempt
 from sidecar.upstream.http_exchange import UpstreamConnection
 
--- a/sidecar/upstream/http_exchange.py
+++ b/sidecar/upstream/http_exchange.py
@@ -15,7 +15,7 @@
 
 from sidecar.connection_socket import ConnectionSocket
 from sidecar.downstream.body_streaming import Upload
-from sidecar.downstream.flow_control import MAX_READ_BYTES, BoundedReader
+from sidecar.downstream.flow_control import BoundedReader
 from sidecar.http import (
     LAST_CHUNK,
     Headers,
@@ -27,6 +27,7 @@
     request_head,
 )
 from sidecar.interfaces import ResponseSink, Transport
+from sidecar.memory_limits import MAX_READ_BYTES
 
 _CONTENT_HEADERS = (b"content-type", b"content-encoding")
 _MAX_COPIED_BODY_BYTES = 8 << 10  # a longer body is written by a second call, so that it is not held twice
--- a/sidecar/upstream/upstream.py
+++ b/sidecar/upstream/upstream.py
@@ -9,8 +9,9 @@
 from balancer.settings import Limits
 from sidecar.clock import Clock
 from sidecar.discovery.endpoint_list import EndpointList
-from sidecar.downstream.flow_control import MAX_READ_BYTES, STALL_TIMEOUT_S
+from sidecar.downstream.flow_control import STALL_TIMEOUT_S
 from sidecar.interfaces import ResponseSink
+from sidecar.memory_limits import MAX_READ_BYTES
 from sidecar.upstream.attempt import Attempt, outcome_of
 from sidecar.upstream.connection_pool import ConnectionPool, PooledEndpoint
 from sidecar.upstream.http_exchange import ExchangeFailure, Response, UpstreamConnection
