Limit the memory of responses that are buffered until they are complete

Seen: 341 clients whose servers pause within responses of 64,000 bytes took the process to 52.8 MB of 64, with many short fields to 62.1; with 85 clients 36.3 and 38.5 MB of 32.

Cause: a response of up to 64 KiB is buffered until it is complete, and neither its body nor its parsed head was counted.

Change: both count in the memory of all responses. Where it is used up, a response that has begun is streamed to its client. One of known length up to 64 KiB still ends with its request's time. Not taken: to pause reading from servers, as responses that are all paused in the middle would free nothing.

--- a/sidecar/log_events.py
+++ b/sidecar/log_events.py
@@ -97,14 +97,16 @@
 
     name = "memory_high"
     template = (
-        "{used_mb} of {limit_mb} MB; kB held: requests {request_kb}, long bodies {upload_kb}; open: requests"
-        " {open_requests}, connections of clients {client_connections}, to servers {server_connections}"
+        "{used_mb} of {limit_mb} MB; kB held: requests {request_kb}, long bodies {upload_kb}, responses"
+        " {response_kb}; open: requests {open_requests}, connections of clients {client_connections}, to"
+        " servers {server_connections}"
     )
 
     used_mb: int
     limit_mb: int
     request_kb: int
     upload_kb: int
+    response_kb: int
     open_requests: int
     client_connections: int
     server_connections: int
--- a/sidecar/memory_budget.py
+++ b/sidecar/memory_budget.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
-from sidecar.http import RequestHead
+from sidecar.http import Headers, RequestHead
 
 HEADER_FIELD_BYTES = 140  # of a parsed field beside its text: a tuple, two bytes objects, places in lists
 
 
+def headers_memory(headers: Headers) -> int:
+    """Return about how many bytes the parsed fields of a head hold."""
+    text_bytes = sum(len(name) + len(value) for name, value in headers)
+    return HEADER_FIELD_BYTES * len(headers) + text_bytes
+
+
 def head_memory(head: RequestHead) -> int:
-    """Return about how many bytes a parsed head holds."""
-    text_bytes = sum(len(name) + len(value) for name, value in head.headers)
-    return HEADER_FIELD_BYTES * len(head.headers) + text_bytes + len(head.target)
+    """Return about how many bytes a request's parsed head holds."""
+    return headers_memory(head.headers) + len(head.target)
 
 
 class MemoryBudget:
@@ -37,7 +42,7 @@
 
 
 class MemoryCharge:
-    """The bytes that one request counts in a budget."""
+    """The bytes that one request or response counts in a budget."""
 
     __slots__ = ("_budget", "held_bytes")
 
--- a/sidecar/sidecar.py
+++ b/sidecar/sidecar.py
@@ -23,6 +23,7 @@
 from sidecar.graceful_shutdown import GracefulShutdown
 from sidecar.hot_restart import ConnectionLimits, HotRestart, connection_limits
 from sidecar.log_events import EventLog, MemoryHigh
+from sidecar.memory_budget import MemoryBudget
 from sidecar.memory_limits import MemoryLimits
 from sidecar.memory_monitor import MemoryMonitor
 from sidecar.metrics import Metrics
@@ -56,6 +57,7 @@
         self._persisted_exclusions = self._create_persisted_exclusions()
         self._metrics = Metrics(service_class.name for service_class in configuration.settings.classes)
         self._memory_limits = self._divide_memory()
+        self._response_memory = MemoryBudget(self._memory_limits.responses)
         self._upstream = self._create_upstream()
         self._request_ids = self._create_request_ids()
         self._requests = OpenRequests(self._metrics, self._upstream.withdraw, self._request_ids)
@@ -182,6 +184,7 @@
             self._configuration.memory_mb,
             request_kb=self.downstream.request_memory.used_bytes >> 10,
             upload_kb=self.downstream.upload_memory.used_bytes >> 10,
+            response_kb=self._response_memory.used_bytes >> 10,
             open_requests=self.open_requests,
             client_connections=self.downstream.open_connections,
             server_connections=self._upstream.open_connections,
@@ -220,6 +223,7 @@
             self._metrics.attempt_sent,
             before_writing,
             self._memory_limits.read,
+            self._response_memory,
         )
 
     def _create_cluster(self) -> ClusterService:
--- a/sidecar/upstream/connection_pool.py
+++ b/sidecar/upstream/connection_pool.py
@@ -13,6 +13,7 @@
 from sidecar.clock import Clock
 from sidecar.discovery.endpoint_list import EndpointList
 from sidecar.downstream.flow_control import MAX_BUFFERED_BODY_BYTES
+from sidecar.memory_budget import MemoryBudget
 from sidecar.memory_limits import MAX_READ_BYTES
 from sidecar.upstream.attempt import Attempt
 from sidecar.upstream.http_exchange import UpstreamConnection
@@ -70,9 +71,11 @@
         on_connected: Callable[[Attempt, PooledEndpoint, UpstreamConnection], None],
         on_connect_failed: Callable[[Attempt, Outcome], None],
         max_read_bytes: int = MAX_READ_BYTES,
+        response_memory: MemoryBudget | None = None,
     ) -> None:
         """Each call of `connect` is answered by one call of `on_connected` or `on_connect_failed`."""
         self._max_read_bytes = max_read_bytes
+        self._response_memory = response_memory
         self._clock = clock
         self._connect_timeout_s = limits.connect_timeout_us / 1e6
         self._max_idle_us = int(limits.idle_timeout_us * (1.0 - _IDLE_TIMEOUT_MARGIN))
@@ -179,7 +182,11 @@
             async with asyncio.timeout(self._connect_timeout_s):
                 _, connection = await asyncio.get_running_loop().create_connection(
                     lambda: UpstreamConnection(
-                        MAX_BUFFERED_BODY_BYTES, self.release, self._remove_connection, self._max_read_bytes
+                        MAX_BUFFERED_BODY_BYTES,
+                        self.release,
+                        self._remove_connection,
+                        self._max_read_bytes,
+                        self._response_memory,
                     ),
                     *endpoint.address,
                 )
--- a/sidecar/upstream/http_exchange.py
+++ b/sidecar/upstream/http_exchange.py
@@ -27,6 +27,7 @@
     request_head,
 )
 from sidecar.interfaces import ResponseSink, Transport
+from sidecar.memory_budget import MemoryBudget, MemoryCharge, headers_memory
 from sidecar.memory_limits import MAX_READ_BYTES
 
 _CONTENT_HEADERS = (b"content-type", b"content-encoding")
@@ -87,11 +88,13 @@
         on_free: Callable[[UpstreamConnection], None],
         on_closed: Callable[[UpstreamConnection], None],
         max_read_bytes: int = MAX_READ_BYTES,
+        memory: MemoryBudget | None = None,
     ) -> None:
         """`on_free` is called when the connection can be reused, `on_closed` once when it is closed.
 
         A response body of more than `max_buffered_bytes` is streamed, or the exchange fails if its caller
-        accepts no streamed response.
+        accepts no streamed response.  If the `memory` of all responses is used up, shorter ones are streamed
+        too, where the caller accepts that.
         """
         self.max_read_bytes = max_read_bytes
         self._max_buffered_bytes = max_buffered_bytes
@@ -105,6 +108,8 @@
         self._on_streaming_response: OnStreamingResponse | None = None
         self._head: ResponseHead | None = None
         self._body = bytearray()
+        self._memory = memory
+        self._charge = None if memory is None else MemoryCharge(memory)  # of the head and the body
         self._is_writing_paused = False  # the transport's write buffer is not empty
         self._is_reading_paused = False  # the client does not read what has been read of the response
         self._upload: Upload | None = None  # a streamed body that is not completely written
@@ -312,6 +317,7 @@
 
     def _head_received(self, head: ResponseHead) -> None:
         """Stream a response that is too long; buffer one of unknown length for a bounded time only."""
+        self._hold_memory(headers_memory(head.headers))
         if head.length is not None:
             if head.length > self._max_buffered_bytes:
                 self._start_streaming(head.length)
@@ -323,13 +329,24 @@
     def _body_received(self, data: bytes) -> None:
         if self._sink is None:
             self._body += data
-            if len(self._body) > self._max_buffered_bytes:
-                self._start_streaming(None)
+            self._hold_memory(len(data))
+            if len(self._body) > self._max_buffered_bytes or self._must_save_memory:
+                self._start_streaming(None if self._head is None else self._head.length)
             return
         self.streamed_bytes += len(data)
         if not self._sink.write(data):
             self.pause()
 
+    def _hold_memory(self, count: int) -> None:
+        if self._charge is not None:
+            self._charge.hold(count)
+
+    @property
+    def _must_save_memory(self) -> bool:
+        """Whether the response should not be buffered any further, and need not be."""
+        is_short = self._memory is not None and self._memory.is_exceeded
+        return is_short and self._on_streaming_response is not None
+
     def _start_streaming(self, length: int | None) -> None:
         """Forward the response as it arrives from now on, as fast as its client reads."""
         self._stop_buffering_timer()
@@ -347,6 +364,8 @@
         unread_us = self._socket.unread_us()
         beginning = Response(200, self._head.headers, bytes(self._body), unread_us)
         self._body = bytearray()
+        if self._charge is not None:
+            self._charge.release()
         self._sink = self._on_streaming_response(self, beginning, length)
         if self._sink is None:
             self._fail(ExchangeFailure.CONNECTION_LOST)  # no client waits for it
@@ -383,6 +402,8 @@
         self._on_result = self._on_written = self._on_streaming_response = None
         self._head = None
         self._body = bytearray()
+        if self._charge is not None:
+            self._charge.release()
 
     def _fail(self, failure: ExchangeFailure) -> None:
         on_result = self._on_result
--- a/sidecar/upstream/upstream.py
+++ b/sidecar/upstream/upstream.py
@@ -9,8 +9,9 @@
 from balancer.settings import Limits
 from sidecar.clock import Clock
 from sidecar.discovery.endpoint_list import EndpointList
-from sidecar.downstream.flow_control import STALL_TIMEOUT_S
+from sidecar.downstream.flow_control import MAX_BUFFERED_BODY_BYTES, STALL_TIMEOUT_S
 from sidecar.interfaces import ResponseSink
+from sidecar.memory_budget import MemoryBudget
 from sidecar.memory_limits import MAX_READ_BYTES
 from sidecar.upstream.attempt import Attempt, outcome_of
 from sidecar.upstream.connection_pool import ConnectionPool, PooledEndpoint
@@ -31,17 +32,19 @@
         on_written: Callable[[], None],
         before_writing: Callable[[], None] | None = None,
         max_read_bytes: int = MAX_READ_BYTES,
+        response_memory: MemoryBudget | None = None,
     ) -> None:
         """`on_written` is called when the last byte of a request was passed to the system.
 
         `before_writing` is called before each decision to write, and may exclude servers.  At most
-        `max_read_bytes` are read from a connection at a time.
+        `max_read_bytes` are read from a connection at a time.  Responses that are buffered count in
+        `response_memory`.
         """
         self._clock = clock
         self._on_written = on_written
         self._before_writing = before_writing
         self._pool = ConnectionPool(
-            clock, limits, max_connections, self._connected, self._end, max_read_bytes
+            clock, limits, max_connections, self._connected, self._end, max_read_bytes, response_memory
         )
 
     # Endpoints
@@ -138,7 +141,7 @@
         ) -> ResponseSink | None:
             start_streaming = attempt.on_streaming_response
             sink = start_streaming(source, beginning, length) if start_streaming is not None else None
-            if sink is not None:
+            if sink is not None and (length is None or length > MAX_BUFFERED_BODY_BYTES):
                 self._watch_progress(attempt)
             return sink
 
@@ -209,6 +212,8 @@
             # because a timer may fire slightly early.
             is_ended_by_send_by = attempt.send_by < attempt.deadline
             self._end(attempt, Outcome.NOT_SENT if is_ended_by_send_by else Outcome.CONNECT_FAILED)
+        elif attempt.connection.is_streaming_response:
+            attempt.connection.fail()  # a short response, which was only streamed to save memory
         else:
             attempt.connection.close()
             self._end(attempt, Outcome.TIMED_OUT)
