Count a connection's memory from when it is connected

Change: the object is made when the connection is established.

Measured: the test failed before and passes; 105 tests of connections and memory passed.

--- a/sidecar/downstream/connection.py
+++ b/sidecar/downstream/connection.py
@@ -52,7 +52,7 @@
         self._reader = RequestReader()
         self._head: RequestHead | None = None  # of the request that is arriving or pending
         self._body = bytearray()
-        self._memory = MemoryCharge(owner.request_memory)  # of a request that is not accepted yet
+        self._memory: MemoryCharge  # of a request that is not accepted yet; set by `connection_made`
         self._source: ResponseSource | None = None  # of the response that is being streamed
         self._is_response_chunked = False
         self._response_bytes_left: int | None = None  # None: its length is not known
@@ -223,6 +223,7 @@
         self._transport = cast(Transport, transport)  # uvloop's transport is no subclass of asyncio's
         self.receive_progress.started_at = asyncio.get_running_loop().time()
         self._socket = ConnectionSocket(self._transport)
+        self._memory = MemoryCharge(self._owner.request_memory)
         self.max_read_bytes = self._owner.max_read_bytes
         self._owner.add(self)
 
