Drop log lines that can't be written, without ending the process or waiting

Seen (probe): with standard error on a full disk a process ended with code 1 at SIGTERM, without draining; in tests it ended at its start. A request got a 500 as the line about the file of exclusions could not be written.

Cause: print raised OSError wherever something was logged, and main takes an OSError for an address that can't be bound. Where nobody reads a pipe, print would wait for ever.

Change: a line is written if standard error takes it at once, otherwise it is counted as dropped. The fatal-signal traceback goes to the descriptor itself, also where Python has no standard error.

--- a/sidecar/__main__.py
+++ b/sidecar/__main__.py
@@ -28,7 +28,7 @@
     ShutdownCompleted,
     ShutdownStarted,
 )
-from sidecar.log_writer import LogWriter
+from sidecar.log_writer import STANDARD_ERROR, LogWriter
 from sidecar.sidecar import Sidecar
 
 _EXIT_LISTEN_FAILED = 1
@@ -81,7 +81,9 @@
 
 def main() -> int:
     """Run a sidecar that is configured by environment variables; return the exit code."""
-    faulthandler.enable()  # a fatal signal such as SIGSEGV, SIGBUS or SIGABRT leaves a traceback in the log
+    faulthandler.enable(
+        STANDARD_ERROR
+    )  # a fatal signal such as SIGSEGV, SIGBUS or SIGABRT leaves a traceback in the log
     try:
         configuration = load(os.environ)
         listener = inherited_listener(configuration)
--- a/sidecar/log_writer.py
+++ b/sidecar/log_writer.py
@@ -1,14 +1,21 @@
-"""Writes log events to standard error at a limited rate, so that the log can't fill a disk."""
+"""Writes log events to standard error at a limited rate, so that the log can't fill a disk.
+
+A line that can't be written at once is dropped: a full disk, or a pipe that nobody reads, must neither end
+the process nor hold it up.
+"""
 
 from __future__ import annotations
 
 import asyncio
-import sys
+import os
+import select
+from collections.abc import Iterable
 
 from sidecar.log_events import LinesDropped, LogEvent
 
 _LINES_PER_S = 20.0
 _BURST_LINES = 200.0
+STANDARD_ERROR = 2  # its file descriptor
 
 
 class LogWriter:
@@ -28,7 +35,16 @@
             self._dropped += 1
             return
         self._tokens -= 1.0
-        if self._dropped:
-            print(LinesDropped(self._dropped), file=sys.stderr)
-            self._dropped = 0
-        print(event, file=sys.stderr, flush=True)
+        lines = [LinesDropped(self._dropped), event] if self._dropped else [event]
+        self._dropped = 0 if _write_lines(lines) else self._dropped + 1
+
+
+def _write_lines(lines: Iterable[LogEvent]) -> bool:
+    """Write lines if that is possible without waiting; return whether they were written."""
+    content = "".join(f"{line}\n" for line in lines).encode(errors="backslashreplace")
+    poll = select.poll()
+    poll.register(STANDARD_ERROR, select.POLLOUT)
+    try:
+        return bool(poll.poll(0)) and os.write(STANDARD_ERROR, content) == len(content)
+    except OSError:
+        return False
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -99,7 +99,10 @@
 
 
 async def start_program(
-    configuration_path: Path, environment: dict[str, str] | None = None, descriptors: tuple[int, ...] = ()
+    configuration_path: Path,
+    environment: dict[str, str] | None = None,
+    descriptors: tuple[int, ...] = (),
+    log: int = subprocess.PIPE,
 ) -> asyncio.subprocess.Process:
     return await asyncio.create_subprocess_exec(
         sys.executable,
@@ -107,7 +110,7 @@
         "sidecar",
         cwd=ROOT,
         env={**os.environ, "BALANCER_CONFIG": str(configuration_path), **(environment or {})},
-        stderr=asyncio.subprocess.PIPE,
+        stderr=log,
         pass_fds=descriptors,
     )
 
