Watch the memory from the process's entry point, after its first lines of the log

Cause: the line about high memory came from the components, which tests run in processes of their own size, and could come before `listening`.

--- a/sidecar/__main__.py
+++ b/sidecar/__main__.py
@@ -29,6 +29,7 @@
     ShutdownStarted,
 )
 from sidecar.log_writer import STANDARD_ERROR, LogWriter
+from sidecar.memory_monitor import MemoryMonitor
 from sidecar.sidecar import Sidecar
 
 _EXIT_LISTEN_FAILED = 1
@@ -65,11 +66,14 @@
     loop.add_signal_handler(signal.SIGHUP, reloader.reload)
     await sidecar.start()
     _log_addresses(configuration, sidecar, log)
+    memory_monitor = MemoryMonitor(configuration.memory_mb, sidecar.describe_memory, log)
+    memory_monitor.start()
     # Objects that exist now live as long as the process, so garbage collections need not scan them.
     gc.freeze()
     await stop_requested.wait()
     log(ShutdownStarted())
     await sidecar.shut_down()
+    memory_monitor.close()
     log(ShutdownCompleted())
 
 
--- a/sidecar/log_writer.py
+++ b/sidecar/log_writer.py
@@ -35,9 +35,12 @@
             self._dropped += 1
             return
         self._tokens -= 1.0
-        lines = [LinesDropped(self._dropped), event] if self._dropped else [event]
+        lines = [self._dropped_lines(), event] if self._dropped else [event]
         self._dropped = 0 if _write_lines(lines) else self._dropped + 1
 
+    def _dropped_lines(self) -> LinesDropped:
+        return LinesDropped(self._dropped)
+
 
 def _write_lines(lines: Iterable[LogEvent]) -> bool:
     """Write lines if that is possible without waiting; return whether they were written."""
--- a/sidecar/sidecar.py
+++ b/sidecar/sidecar.py
@@ -25,7 +25,6 @@
 from sidecar.log_events import EventLog, MemoryHigh
 from sidecar.memory_budget import MemoryBudget
 from sidecar.memory_limits import MemoryLimits
-from sidecar.memory_monitor import MemoryMonitor
 from sidecar.metrics import Metrics
 from sidecar.open_requests import OpenRequests
 from sidecar.persisted_exclusions import PersistedExclusions
@@ -73,7 +72,6 @@
         )
         self.administration = self._create_administration()
         self.admin_interface = self._create_admin_interface()
-        self._memory_monitor = MemoryMonitor(configuration.memory_mb, self._describe_memory, log)
 
     async def start(self) -> None:
         """Apply the last known endpoint list and exclusions, then accept clients.
@@ -88,7 +86,6 @@
         self._dispatcher.dispatch(configuration.known_endpoints.event(EndpointListKind.CACHED))
         self._exclusions.restore(watch=self._listener is not None)
         self._hot_restart.watch(self._resize_upstream)
-        self._memory_monitor.start()
         self._discovery.start()
         await self._discovery.wait_for_first_list(_FIRST_LIST_TIMEOUT_S)
         self.downstream.listen(self._listener or bind_listener(configuration.listen_address))
@@ -132,6 +129,19 @@
         """Shut down gracefully: answer all requests, including those that still arrive, then close."""
         shutdown = GracefulShutdown(
             self._configuration.settings,
+    def describe_memory(self, used_mb: int) -> MemoryHigh:
+        """Return the log event for a process that uses this much memory: what is held for peers."""
+        return MemoryHigh(
+            used_mb,
+            self._configuration.memory_mb,
+            request_kb=self.downstream.request_memory.used_bytes >> 10,
+            upload_kb=self.downstream.upload_memory.used_bytes >> 10,
+            response_kb=self._response_memory.used_bytes >> 10,
+            open_requests=self.open_requests,
+            client_connections=self.downstream.open_connections,
+            server_connections=self._upstream.open_connections,
+        )
+
             self._clock,
             self.downstream,
             self._requests,
@@ -147,7 +157,6 @@
         """Close all sockets and stop all timers at once."""
         if self.admin_interface is not None:
             self.admin_interface.close()
-        self._memory_monitor.close()
         self._exclusions.close()
         self._hot_restart.close()
         self._discovery.close()
@@ -178,18 +187,6 @@
             self._configuration.memory_mb // process_count, connections.downstream, connections.upstream
         )
 
-    def _describe_memory(self, used_mb: int) -> MemoryHigh:
-        return MemoryHigh(
-            used_mb,
-            self._configuration.memory_mb,
-            request_kb=self.downstream.request_memory.used_bytes >> 10,
-            upload_kb=self.downstream.upload_memory.used_bytes >> 10,
-            response_kb=self._response_memory.used_bytes >> 10,
-            open_requests=self.open_requests,
-            client_connections=self.downstream.open_connections,
-            server_connections=self._upstream.open_connections,
-        )
-
     def _resize_upstream(self) -> None:
         self._upstream.resize(self._connection_limits().upstream)
 
--- a/tests/test_memory_monitor.py
+++ b/tests/test_memory_monitor.py
@@ -5,7 +5,7 @@
 import signal
 from pathlib import Path
 
-from loopback import OK, run_async, running_sidecar, within_timeout
+from loopback import OK, run_async, within_timeout
 from test_program import running_program
 
 from sidecar.log_events import LogEvent, ShutdownStarted
@@ -25,13 +25,14 @@
     assert len(lines) == 2
 
 
-def test_line_names_what_is_held_and_open() -> None:
+def test_process_names_what_is_held_and_open(tmp_path: Path) -> None:
     async def work() -> None:
         limits = {"cores": 1.0, "memory_mb": 1, "sockets": 1_024}
-        async with running_sidecar(OK, configuration={"limits": limits}) as harness:
-            line = next(line for line in harness.log if line.startswith("memory_high: "))
-            assert " of 1 MB; " in line
-            assert "requests 0, connections of clients 0, to servers 0" in line
+        async with running_program(OK, tmp_path, limits=limits) as program:
+            assert program.process.stderr is not None
+            line = (await within_timeout(program.process.stderr.readline())).decode()
+            assert line.startswith("memory_high: ") and " of 1 MB; " in line
+            assert line.endswith("requests 0, connections of clients 0, to servers 0\n")
 
     run_async(work)
 
