Bind addresses again while the system lacks resources for a moment at a start

Seen (probe, calls to socket fail with ENFILE, EMFILE, ENOBUFS or ENOMEM): a process ended at its start with `can't listen`, or, after it had bound the admin interface without a socket, with an IndexError.

Cause: one failed call ended the start. uvloop's create_server passes over an address for which socket() fails and returns a server without sockets; create_datagram_endpoint likewise, so a sidecar served without its peers for good.

Change: sockets are bound by the sidecar itself, in one module, and again for up to 20 s (2 s for peers' datagrams) while the system lacks resources. An address in use still ends the start at once.

--- a/sidecar/admin_interface.py
+++ b/sidecar/admin_interface.py
@@ -19,6 +19,7 @@
 from sidecar.address import Address
 from sidecar.errors import SidecarError
 from sidecar.http import CONTINUE, MalformedMessageError, RequestHead, RequestReader, Signal, response_head
+from sidecar.socket_binding import bind_listener, bind_with_retry
 
 MAX_CONNECTIONS = 16  # open at the same time; each uses a file descriptor
 _MAX_BODY_BYTES = 4 << 10
@@ -130,9 +131,9 @@
 
     async def listen(self, address: Address) -> None:
         """Accept connections; raise OSError if the address can't be bound."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: _AdminConnection(self), *address, backlog=MAX_CONNECTIONS, reuse_address=True
+        listening = await bind_with_retry(lambda: bind_listener(address, MAX_CONNECTIONS))
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: _AdminConnection(self), sock=listening, backlog=MAX_CONNECTIONS
         )
 
     @property
--- a/sidecar/downstream/listener.py
+++ b/sidecar/downstream/listener.py
@@ -3,19 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import select
 import socket
 from collections.abc import Callable
 
-from sidecar.address import Address
 from sidecar.connection_socket import PEER_CLOSED_EVENTS
+from sidecar.socket_binding import NO_RESOURCES_ERRORS
 
-_BACKLOG = 1_024
+_BACKLOG = 1_024  # connections that are accepted when the listener is closed
 _MAX_ACCEPTS_PER_EVENT = 8  # so that connections over the limit are closed before more are accepted
 _RETRY_S = 0.1  # delay before accepting again when the machine ran out of descriptors or memory
 _RETRY_AFTER_CLOSE_S = 0.01  # the same after an eviction, which frees a descriptor soon
-_NO_RESOURCES_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
 def listener_from_descriptor(descriptor: int) -> socket.socket:
@@ -31,19 +29,6 @@
     return listening
 
 
-def bind_listener(address: Address) -> socket.socket:
-    """Return a listening socket bound to the address; raise OSError if that fails."""
-    listening = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
-    try:
-        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listening.bind(address)
-        listening.listen(_BACKLOG)
-    except OSError:
-        listening.close()
-        raise
-    return listening
-
-
 class Listener:
     """Accepts connections, a few at a time, until it is closed.
 
@@ -115,7 +100,7 @@
         except (BlockingIOError, InterruptedError, ConnectionAbortedError):
             return False  # the queue is empty, or another process accepted the connection
         except OSError as error:
-            if error.errno not in _NO_RESOURCES_ERRORS:
+            if error.errno not in NO_RESOURCES_ERRORS:
                 raise
             self._retry_later()
             return False
--- a/sidecar/peers.py
+++ b/sidecar/peers.py
@@ -8,6 +8,9 @@
 
 from sidecar.address import Address
 from sidecar.cluster.limits import MAX_DATAGRAM_BYTES
+from sidecar.socket_binding import bind_datagram_socket, bind_with_retry
+
+_BIND_TIMEOUT_S = 2.0  # after which the sidecar serves without its peers
 
 
 class Peers(asyncio.DatagramProtocol):
@@ -52,9 +55,8 @@
         Raises:
             OSError: if the address can't be bound.
         """
-        await asyncio.get_running_loop().create_datagram_endpoint(
-            lambda: self, local_addr=address, reuse_port=shared or None
-        )
+        bound = await bind_with_retry(lambda: bind_datagram_socket(address, shared=shared), _BIND_TIMEOUT_S)
+        await asyncio.get_running_loop().create_datagram_endpoint(lambda: self, sock=bound)
 
     def send(self, receiver: int | None, payload: bytes) -> bool:
         """Send to one member, or to all others (None).
--- a/sidecar/sidecar.py
+++ b/sidecar/sidecar.py
@@ -18,7 +18,6 @@
 from sidecar.discovery.discovery import Discovery
 from sidecar.discovery.endpoint_list import EndpointList
 from sidecar.downstream.downstream import Downstream
-from sidecar.downstream.listener import bind_listener
 from sidecar.event_dispatcher import EventDispatcher
 from sidecar.graceful_shutdown import GracefulShutdown
 from sidecar.hot_restart import ConnectionLimits, HotRestart, connection_limits
@@ -32,6 +31,7 @@
 from sidecar.request_ids import RequestIdTable
 from sidecar.request_intake import RequestIntake
 from sidecar.shutdown_state import ShutdownState
+from sidecar.socket_binding import bind_listener, bind_with_retry
 from sidecar.upstream.upstream import Upstream
 
 # Maximum delay of a start for the first list of an agent that pushes lists: a process has to be ready in 6 s.
@@ -88,7 +88,11 @@
         self._hot_restart.watch(self._resize_upstream)
         self._discovery.start()
         await self._discovery.wait_for_first_list(_FIRST_LIST_TIMEOUT_S)
-        self.downstream.listen(self._listener or bind_listener(configuration.listen_address))
+        self.downstream.listen(self._listener or await self._bind_listener())
+
+    async def _bind_listener(self) -> socket.socket:
+        address = self._configuration.listen_address
+        return await bind_with_retry(lambda: bind_listener(address))
 
     def reconfigure(self, configuration: Configuration) -> list[str]:
         """Apply what can change at run time: addresses of discovery and peers, membership and version.
@@ -125,10 +129,6 @@
         """Whether the graceful shutdown has begun."""
         return self._shutdown_state.is_shutting_down
 
-    async def shut_down(self) -> None:
-        """Shut down gracefully: answer all requests, including those that still arrive, then close."""
-        shutdown = GracefulShutdown(
-            self._configuration.settings,
     def describe_memory(self, used_mb: int) -> MemoryHigh:
         """Return the log event for a process that uses this much memory: what is held for peers."""
         return MemoryHigh(
@@ -142,6 +142,10 @@
             server_connections=self._upstream.open_connections,
         )
 
+    async def shut_down(self) -> None:
+        """Shut down gracefully: answer all requests, including those that still arrive, then close."""
+        shutdown = GracefulShutdown(
+            self._configuration.settings,
             self._clock,
             self.downstream,
             self._requests,
--- a/sidecar/upstream/connection_pool.py
+++ b/sidecar/upstream/connection_pool.py
@@ -15,6 +15,7 @@
 from sidecar.downstream.flow_control import MAX_BUFFERED_BODY_BYTES
 from sidecar.memory_budget import MemoryBudget
 from sidecar.memory_limits import MAX_READ_BYTES
+from sidecar.socket_binding import NO_RESOURCES_ERRORS
 from sidecar.upstream.attempt import Attempt
 from sidecar.upstream.http_exchange import UpstreamConnection
 
@@ -24,7 +25,7 @@
 _MAX_SECOND_RESPONSE_DELAY_US = 1_000_000  # later data is no second response
 _RESTS_FOR_US = 60_000_000  # after a second response, whose server may send more of them
 # Errors which mean that this machine, not the server, lacked resources for a connection.
-_LOCAL_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
+_LOCAL_ERRORS = (*NO_RESOURCES_ERRORS, errno.EADDRNOTAVAIL)
 
 
 @dataclass(slots=True)
--- a/tests/test_socket_limits.py
+++ b/tests/test_socket_limits.py
@@ -11,8 +11,8 @@
 
 import sidecar.sidecar
 from sidecar.address import Address
-from sidecar.downstream.listener import bind_listener
 from sidecar.sidecar import Sidecar
+from sidecar.socket_binding import bind_listener
 
 
 @pytest.mark.parametrize(
