Go on accepting clients after errors of single connections, and empty the queue at a shutdown

Seen (test): accept calls that fail with EPROTO, ENETDOWN, EPERM or EHOSTUNREACH, as accept(2) passes on errors of the new connection, were logged as defects; at a shutdown one failed call left the rest of the listen queue to be reset, with the requests that clients had sent. With ENFILE or ENOBUFS a connection whose first request was on its way was aborted to make room (probe).

Cause: only four errors were known; any failure ended the emptying of the queue; any lack of resources evicted a connection.

Change: errors of the connection are passed over, and the queue is emptied until it is empty. Only EMFILE evicts a connection, as no other error means that one of ours is in the way; after the others accepting goes on in 10 ms.

--- a/sidecar/downstream/listener.py
+++ b/sidecar/downstream/listener.py
@@ -1,19 +1,36 @@
-"""The listening socket for clients: bound by this process, or inherited and shared between processes."""
+"""Accepts clients from a socket that this process has bound, or has inherited and shares with another."""
 
 from __future__ import annotations
 
 import asyncio
+import errno
 import select
 import socket
 from collections.abc import Callable
+from enum import Enum, unique
 
 from sidecar.connection_socket import PEER_CLOSED_EVENTS
 from sidecar.socket_binding import NO_RESOURCES_ERRORS
 
-_BACKLOG = 1_024  # connections that are accepted when the listener is closed
+_MAX_QUEUED = 1_024  # connections that are accepted when the listener is closed
 _MAX_ACCEPTS_PER_EVENT = 8  # so that connections over the limit are closed before more are accepted
-_RETRY_S = 0.1  # delay before accepting again when the machine ran out of descriptors or memory
-_RETRY_AFTER_CLOSE_S = 0.01  # the same after an eviction, which frees a descriptor soon
+_RETRY_S = 0.1  # delay before accepting again when the process has no descriptor left
+_SHORT_RETRY_S = 0.01  # the same when one will be free soon, or the system lacks resources for a moment
+# Errors of the connection that would have been accepted, according to accept(2); there may be others.
+_CONNECTION_ERRORS = (
+    errno.ECONNABORTED,
+    errno.EPERM,
+    errno.EPROTO,
+    errno.ENETDOWN,
+    errno.ENOPROTOOPT,
+    errno.EHOSTDOWN,
+    errno.ENONET,
+    errno.EHOSTUNREACH,
+    errno.EOPNOTSUPP,
+    errno.ENETUNREACH,
+    errno.ETIMEDOUT,
+    errno.ECONNRESET,
+)
 
 
 def listener_from_descriptor(descriptor: int) -> socket.socket:
@@ -29,6 +46,16 @@
     return listening
 
 
+@unique
+class _AcceptResult(Enum):
+    """The result of trying to accept a connection."""
+
+    ACCEPTED = "accepted, or the connection had failed already; there may be more"
+    QUEUE_EMPTY = "no connection is queued, or another process accepted it"
+    NO_DESCRIPTOR = "this process has no descriptor left"
+    NO_RESOURCES = "the system lacks resources for a connection"
+
+
 class Listener:
     """Accepts connections, a few at a time, until it is closed.
 
@@ -78,11 +105,18 @@
         if not self.is_open:
             return
         self._loop.remove_reader(self._socket)
-        for _ in range(_BACKLOG if accept_queued else 0):
-            if not self._accept_one():
-                break
+        if accept_queued:
+            self._accept_queued()
         self._socket.close()
 
+    def _accept_queued(self) -> None:
+        for _ in range(_MAX_QUEUED):
+            result = self._accept_one()
+            if result is _AcceptResult.QUEUE_EMPTY:
+                return
+            if result is _AcceptResult.NO_DESCRIPTOR:
+                self._evict_connection()
+
     def _resume(self) -> None:
         self._retry_timer = None
         if self.is_open:
@@ -90,41 +124,50 @@
 
     def _accept(self) -> None:
         for _ in range(_MAX_ACCEPTS_PER_EVENT):
-            if not self._accept_one():
+            result = self._accept_one()
+            if result is _AcceptResult.NO_DESCRIPTOR:
+                self._retry_after_eviction()
+            elif result is _AcceptResult.NO_RESOURCES:
+                self._retry_after(_SHORT_RETRY_S)
+            if result is not _AcceptResult.ACCEPTED:
                 return
 
-    def _accept_one(self) -> bool:
-        """Accept a connection; return whether there may be more."""
+    def _accept_one(self) -> _AcceptResult:
         try:
             connection, _ = self._socket.accept()
-        except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-            return False  # the queue is empty, or another process accepted the connection
+        except BlockingIOError:
+            return _AcceptResult.QUEUE_EMPTY
         except OSError as error:
-            if error.errno not in NO_RESOURCES_ERRORS:
+            if error.errno == errno.EMFILE:
+                return _AcceptResult.NO_DESCRIPTOR
+            if error.errno in NO_RESOURCES_ERRORS:
+                return _AcceptResult.NO_RESOURCES
+            if error.errno not in _CONNECTION_ERRORS:
                 raise
-            self._retry_later()
-            return False
+            return _AcceptResult.ACCEPTED
         if _is_peer_closed(connection):
             # Guards against congestion collapse: in a burst, many clients give up while their connection is
             # queued, and handling it would cost as much as any other.
             connection.close()
-            return True
+            return _AcceptResult.ACCEPTED
         connection.setblocking(False)  # noqa: FBT003 - has no keyword
         task: asyncio.Task[object] = self._loop.create_task(
             self._loop.connect_accepted_socket(self._create_protocol, connection)
         )
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-        return True
+        return _AcceptResult.ACCEPTED
 
-    def _retry_later(self) -> None:
+    def _retry_after_eviction(self) -> None:
         """Pause accepting, and evict a connection to free its descriptor.
 
         If the system allows fewer descriptors than the settings assume, the limit on connections is never
         reached, and idle clients would hold the descriptors that new ones need.
         """
+        self._retry_after(_SHORT_RETRY_S if self._evict_connection() else _RETRY_S)
+
+    def _retry_after(self, delay_s: float) -> None:
         self._loop.remove_reader(self._socket)
-        delay_s = _RETRY_AFTER_CLOSE_S if self._evict_connection() else _RETRY_S
         self._retry_timer = self._loop.call_later(delay_s, self._resume)
 
 
--- a/tests/test_failing_system_calls.py
+++ b/tests/test_failing_system_calls.py
@@ -20,6 +20,7 @@
 ANSWERS = {200, 502, 503, 504}
 LOG_FILE = "log"
 FAULTS = {
+    "accept": {"FAIL_ACCEPT": "0.3"},
     "socket": {"FAIL_SOCKET": "0.6"},
     "connect": {"FAIL_CONNECT": "0.2"},
     "short reads and writes": {"FAIL_SHORT": "0.3"},
