Warm a server up for its time, also where a wall clock was stepped

Cause: slow start began at the start time that discovery reports, by the wall clock of the server, compared with that of this machine at the process's start. After a step back by an hour a server that had just started counted as warm, so all sidecars together could overload it; after a step forward it stayed cold for an hour.

Change: a start that is news must lie between the last list, less the 6 s that a notification may take, and now; otherwise the server counts as started now. The first list of a process has nothing before it to compare with and is taken as it is, unless it is in the future.

Measured: the eight cases of the new test failed before and pass; 216 tests of decisions, the simulation and lists passed.

--- a/balancer/endpoint_updates.py
+++ b/balancer/endpoint_updates.py
@@ -14,6 +14,9 @@
 # is sent a request even if it was not selected.
 INCLUSION_OBJECTIVES = 4.0
 
+# Longest delay until discovery reports a server that has started.
+MAX_NOTIFICATION_DELAY_US = 6_000_000
+
 
 class EndpointUpdater:
     """Applies endpoint lists and exclusions; an excluded endpoint stays excluded whatever the lists say."""
@@ -29,6 +32,7 @@
         self._endpoints = endpoints
         self._slow_start = slow_start
         self._outliers = outliers
+        self._last_list_at: int | None = None  # of discovery, not the list known from an earlier process
         self._first_request_due: dict[Endpoint, int] = {}  # endpoints included again and not used since
 
     def apply(self, event: EndpointListReceived) -> None:
@@ -38,11 +42,25 @@
             for endpoint in self._endpoints.by_name.values():
                 if endpoint.name not in listed:
                     self._set_state(endpoint, EndpointState.GONE)
+        earliest_start = self._earliest_start(event.kind)
         for entry in event.entries:
-            self._apply_entry(entry)
+            self._apply_entry(entry, earliest_start)
+        if event.kind is not EndpointListKind.CACHED:
+            self._last_list_at = self._context.now
         self._endpoints.refresh()
 
-    def _apply_entry(self, entry: EndpointEntry) -> None:
+    def _earliest_start(self, kind: EndpointListKind) -> int:
+        """Return the clock time after which servers must have started whose start is news; 0 if unknown.
+
+        Start times come from the wall clocks of servers, which may be stepped, as may that of this machine.
+        A server that seems to have started before, or in the future, is taken to have started just now.
+        """
+        if self._last_list_at is None:
+            return 0
+        reported_since = self._context.now if kind is EndpointListKind.CHANGES else self._last_list_at
+        return reported_since - MAX_NOTIFICATION_DELAY_US
+
+    def _apply_entry(self, entry: EndpointEntry, earliest_start: int) -> None:
         endpoint = self._endpoints.get_or_add(entry.server)
         endpoint.zone = entry.zone
         endpoint.cell = entry.cell
@@ -52,7 +70,8 @@
         self._set_state(endpoint, entry.state)
         if entry.started_at is not None and entry.started_at != endpoint.started_at:
             endpoint.started_at = entry.started_at
-            self._slow_start.begin(endpoint, entry.started_at)
+            is_plausible = earliest_start <= entry.started_at <= self._context.now
+            self._slow_start.begin(endpoint, entry.started_at if is_plausible else self._context.now)
             if endpoint.ejected_until is not None and entry.state is EndpointState.READY:
                 self._outliers.readmit(endpoint)  # a new process: failures of the old one do not count
 
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -121,3 +121,23 @@
     assert slow_start.capacity_fraction(endpoint) == pytest.approx(0.6)
     context.begin_event(START + 10 * S)
     assert slow_start.capacity_fraction(endpoint) == 1.0 and not slow_start.is_warming_up(endpoint)
+
+
+@pytest.mark.parametrize("step_s", [-3_600, -20, 20, 3_600])
+@pytest.mark.parametrize("kind", [EndpointListKind.CHANGES, EndpointListKind.COMPLETE])
+def test_server_whose_clock_was_stepped_warms_up_for_its_time(kind: EndpointListKind, step_s: int) -> None:
+    # Guards against an overloaded cold server that seems to have started long ago, and an idle warm one.
+    driver = BalancerDriver()
+    names = server_names(4)
+    driver.receive_list(names)
+    driver.serve_traffic(300, every_us=10 * MS)
+    restarted = EndpointEntry(names[0], zone="east", started_at=driver.now + step_s * S)
+    others = [EndpointEntry(name, zone="east") for name in names[1:]]
+    driver.receive_list([restarted, *(others if kind is EndpointListKind.COMPLETE else [])], kind)
+    endpoint = driver.balancer._endpoints.by_name[names[0]]
+    slow_start = driver.balancer._slow_start
+    assert slow_start.is_warming_up(endpoint)
+    assert slow_start.capacity_fraction(endpoint) == 0.2
+    driver.wait(10 * S)
+    driver.serve_traffic(1, every_us=10 * MS)
+    assert not slow_start.is_warming_up(endpoint)
