Keep the times of request ids on the monotonic clock, which both processes of an upgrade share

Cause: each process counts its clock from the wall clock at its start, and both share the table of ids. If the wall clock was stepped between the starts, an id was forgotten at once, and could run twice, or was refused for as long as the step.

Change: the table's times are those of the system's monotonic clock. Times further ahead than the retention are left from before a restart of the system, and don't count. The file's version is 2, as its times mean something else.

--- a/sidecar/clock.py
+++ b/sidecar/clock.py
@@ -23,6 +23,10 @@
         """Return the time in microseconds."""
         return (time.monotonic_ns() + self._offset_ns) // 1_000
 
+    def monotonic(self) -> int:
+        """Return the system's monotonic time in microseconds, which is the same in all processes."""
+        return time.monotonic_ns() // 1_000
+
 
 class Timer:
     """A timer that can be rescheduled: each `schedule` replaces the previous one."""
--- a/sidecar/request_ids.py
+++ b/sidecar/request_ids.py
@@ -16,10 +16,10 @@
 from sidecar.clock import Clock
 from sidecar.log_events import EventLog, RequestIdsNotShared
 
-_FILE_NAME = "request-ids.1"  # ends with the version of its format
+_FILE_NAME = "request-ids.2"  # ends with the version of its format
 _FILE_MODE = 0o600
 _RETENTION_US = 30_000_000
-_SLOT = struct.Struct("=QQQ")  # hash of the id, owner, clock time (us) at which the entry expires
+_SLOT = struct.Struct("=QQQ")  # hash of the id, owner, monotonic time (us) at which the entry expires
 _SLOTS_PER_BUCKET = 8
 _BUCKETS = 1_024
 _BUCKET = struct.Struct("=" + "QQQ" * _SLOTS_PER_BUCKET)
@@ -29,7 +29,10 @@
 
 
 class RequestIdTable:
-    """The ids that were written to servers in the last 30 s, each with the request that it belongs to."""
+    """The ids that were written to servers in the last 30 s, each with the request that it belongs to.
+
+    Times are monotonic, as the wall clock may be stepped between the starts of two processes.
+    """
 
     def __init__(self, clock: Clock, directory: Path | None, log: EventLog) -> None:
         """Without a `directory`, or if its file can't be used (which is logged), the table is not shared."""
@@ -47,9 +50,11 @@
         A request may claim its id repeatedly, for further attempts.
         """
         id_hash, bucket_at = _locate(request_id)
-        owner, now = self._owner(number), self._clock.now()
+        owner, now = self._owner(number), self._clock.monotonic()
         bucket = _BUCKET.unpack_from(self._memory, bucket_at)
-        hashes, owners, expiries = bucket[0::3], bucket[1::3], bucket[2::3]
+        hashes, owners = bucket[0::3], bucket[1::3]
+        # Later times are left from before the system was restarted.
+        expiries = [expiry if expiry <= now + _RETENTION_US else 0 for expiry in bucket[2::3]]
         slot = hashes.index(id_hash) if id_hash in hashes else expiries.index(min(expiries))
         if hashes[slot] == id_hash and expiries[slot] > now:
             return bool(owners[slot] == owner)
--- a/tests/test_request_ids.py
+++ b/tests/test_request_ids.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from pathlib import Path
 
 import pytest
@@ -50,6 +51,29 @@
     assert table.claim(b"a", 2)
 
 
+@pytest.mark.parametrize("step_s", [-3_600, 3_600])
+def test_id_is_recognized_by_a_process_that_started_after_the_wall_clock_was_stepped(
+    step_s: int, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against an id that runs twice, or is refused for an hour, at an upgrade.
+    assert make_table(tmp_path, Clock()).claim(b"a", 1)
+    wall_clock_ns = time.time_ns
+    monkeypatch.setattr(time, "time_ns", lambda: wall_clock_ns() + step_s * 1_000_000_000)
+    stepped = Clock()
+    assert not make_table(tmp_path, stepped).claim(b"a", 2)
+    started_ns = time.monotonic_ns()
+    monkeypatch.setattr(time, "monotonic_ns", lambda: started_ns + request_ids._RETENTION_US * 2_000)
+    assert make_table(tmp_path, stepped).claim(b"a", 2)
+
+
+def test_ids_from_before_a_restart_of_the_system_are_forgotten(tmp_path: Path) -> None:
+    clock = FakeClock()
+    clock.time = 10 * request_ids._RETENTION_US
+    assert make_table(tmp_path, clock).claim(b"a", 1)
+    clock.time = 0
+    assert make_table(tmp_path, clock).claim(b"a", 2)
+
+
 def test_full_bucket_forgets_the_oldest_id() -> None:
     # Guards against a table that grows under ever new ids.
     clock = FakeClock()
--- a/tests/upstream_harness.py
+++ b/tests/upstream_harness.py
@@ -24,6 +24,9 @@
     def now(self) -> int:
         return self.time
 
+    def monotonic(self) -> int:
+        return self.time
+
 
 class UpstreamHarness:
     def __init__(self, server: ScriptedServer, clock: Clock | None = None, max_connections: int = 16) -> None:
