Try again to write exclusions that could not be written

Cause: an exclusion that could not be written was kept by the process, and written along with the next change only. After a kill the server would have been used again.

Change: there is one try a second until it is written.

--- a/sidecar/administration.py
+++ b/sidecar/administration.py
@@ -12,9 +12,12 @@
 from sidecar.metrics import Metrics
 from sidecar.open_requests import OpenRequests
 from sidecar.persisted_exclusions import PersistedExclusions
+from sidecar.poller import Poller
 from sidecar.shutdown_state import ShutdownState
 from sidecar.upstream.upstream import Upstream
 
+_WRITE_RETRY_INTERVAL_S = 1.0
+
 
 class ServerExclusions:
     """Excludes servers in the connection pool, in the balancer and in the file of persisted exclusions."""
@@ -30,6 +33,7 @@
         self._upstream = upstream
         self._persisted = persisted
         self._dispatch = dispatch
+        self._write_retry = Poller(_WRITE_RETRY_INTERVAL_S, self._retry_write)
         self._target: frozenset[str] = frozenset()  # the servers to exclude, by the last call of `_apply`
 
     def restore(self, *, watch: bool) -> None:
@@ -40,6 +44,7 @@
             self._persisted.watch(self._apply)
         else:
             self._apply(self._persisted.read() or frozenset())
+        self._write_retry.start()
 
     def set_excluded(self, server: str, *, is_excluded: bool) -> bool:
         """Exclude or include a server; return False if it was never in an endpoint list."""
@@ -54,9 +59,14 @@
 
     def close(self) -> None:
         """Stop watching the file of persisted exclusions."""
+        self._write_retry.close()
         if self._persisted is not None:
             self._persisted.close()
 
+    def _retry_write(self) -> None:
+        if self._persisted is not None:
+            self._apply(self._persisted.retry(self._upstream.excluded))
+
     def _apply(self, excluded: frozenset[str]) -> None:
         """Exclude these servers and no others.
 
--- a/sidecar/persisted_exclusions.py
+++ b/sidecar/persisted_exclusions.py
@@ -69,7 +69,8 @@
     def record(self, server: str, known_exclusions: frozenset[str], *, is_excluded: bool) -> frozenset[str]:
         """Add a server to the file or remove it; a failure to write is logged.
 
-        A change that could not be written holds in this process only, and is written along with its next one.
+        A change that could not be written holds in this process only, until the next change or call of
+        `retry` succeeds.
         `known_exclusions` are the excluded servers that this process knows of.  They replace the content of a
         file that is missing or invalid.
 
@@ -78,6 +79,10 @@
             since `on_change` was last called.
         """
         self._unwritten[server] = is_excluded
+        return self._write(known_exclusions)
+
+    def _write(self, known_exclusions: frozenset[str]) -> frozenset[str]:
+        """Write the changes that are not written yet; return all excluded servers."""
         excluded = self._with_unwritten(known_exclusions)
         try:
             lock_path = self._path.with_suffix(".lock")
@@ -92,6 +97,10 @@
             self._log(ExclusionsFileNotWritten(str(error)))
         return excluded
 
+    def retry(self, known_exclusions: frozenset[str]) -> frozenset[str]:
+        """Write the changes that could not be written, if any; return all excluded servers like `record`."""
+        return self._write(known_exclusions) if self._unwritten else known_exclusions
+
     def watch(self, on_change: Callable[[frozenset[str]], None]) -> None:
         """Call `on_change` with all excluded servers, now and after each change of the file."""
         self._on_change = on_change
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -338,6 +338,7 @@
     *scripts: Script | bytes | None,
     bounds: dict[str, Any] | None = None,
     configuration: dict[str, Any] | None = None,
+    environment: dict[str, str] | None = None,
     is_listed: bool = True,
     has_admin_interface: bool = False,
     **settings: Any,
@@ -375,7 +376,7 @@
         **(configuration or {}),
     }
     log: list[str] = []
-    sidecar = Sidecar(parse(document), lambda event: log.append(str(event)))
+    sidecar = Sidecar(parse(document, environment or {}), lambda event: log.append(str(event)))
     await sidecar.start()
     harness = SidecarHarness(sidecar, discovery, servers, log)
     try:
--- a/tests/test_persisted_exclusions.py
+++ b/tests/test_persisted_exclusions.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 import pytest
+from loopback import OK, run_async, running_sidecar, wait_until
 
 from sidecar.log_events import ExclusionsFileIgnored, ExclusionsFileNotWritten, LogEvent
 from sidecar.persisted_exclusions import PersistedExclusions
@@ -44,3 +45,30 @@
     log: list[LogEvent] = []
     PersistedExclusions(tmp_path / "missing", log.append).record("a", frozenset(), is_excluded=True)
     assert len(log) == 1 and isinstance(log[0], ExclusionsFileNotWritten)
+
+
+def test_change_that_could_not_be_written_is_written_by_a_later_try(tmp_path: Path) -> None:
+    # Guards against an excluded server that is used again after a restart, as the disk was full for a while.
+    log: list[LogEvent] = []
+    directory = tmp_path / "missing"
+    exclusions = PersistedExclusions(directory, log.append)
+    excluded = exclusions.record("a", frozenset({"b"}), is_excluded=True)
+    assert exclusions.retry(excluded) == {"a", "b"} and len(log) == 2
+    directory.mkdir()
+    assert exclusions.retry(excluded) == {"a", "b"}
+    assert PersistedExclusions(directory, log.append).read() == frozenset({"a", "b"})
+    assert exclusions.retry(frozenset()) == frozenset() and len(log) == 2
+
+
+def test_sidecar_tries_again_to_write_an_exclusion(tmp_path: Path) -> None:
+    async def work() -> None:
+        directory = tmp_path / "missing"
+        configuration = {"console": "127.0.0.1:0"}
+        async with running_sidecar(
+            OK, configuration=configuration, environment={"TMPDIR": str(directory)}
+        ) as harness:
+            assert (await harness.admin_request("POST", "/api/exclude", b'{"member":"s-0"}'))[0] == 200
+            directory.mkdir()
+            await wait_until((directory / "excluded.json").exists)
+
+    run_async(work)
