Take a start of long ago as it is, also when it is news

Change: a start over two hours ago can't come from a step of a clock by an hour, and is taken as it is.

--- a/balancer/endpoint_updates.py
+++ b/balancer/endpoint_updates.py
@@ -17,6 +17,9 @@
 # Longest delay until discovery reports a server that has started.
 MAX_NOTIFICATION_DELAY_US = 6_000_000
 
+# A start longer ago than this is not explained by a step of a wall clock.
+MAX_CLOCK_STEP_US = 2 * 3_600_000_000
+
 
 class EndpointUpdater:
     """Applies endpoint lists and exclusions; an excluded endpoint stays excluded whatever the lists say."""
@@ -53,13 +56,18 @@
         """Return the clock time after which servers must have started whose start is news; 0 if unknown.
 
         Start times come from the wall clocks of servers, which may be stepped, as may that of this machine.
-        A server that seems to have started before, or in the future, is taken to have started just now.
+        A server that seems to have started shortly before, or in the future, is taken to have started now.
         """
         if self._last_list_at is None:
             return 0
         reported_since = self._context.now if kind is EndpointListKind.CHANGES else self._last_list_at
         return reported_since - MAX_NOTIFICATION_DELAY_US
 
+    def _plausible_start(self, started_at: int, earliest_start: int) -> int:
+        now = self._context.now
+        is_stepped = now - MAX_CLOCK_STEP_US <= started_at < earliest_start or started_at > now
+        return now if is_stepped else started_at
+
     def _apply_entry(self, entry: EndpointEntry, earliest_start: int) -> None:
         endpoint = self._endpoints.get_or_add(entry.server)
         endpoint.zone = entry.zone
@@ -70,8 +78,7 @@
         self._set_state(endpoint, entry.state)
         if entry.started_at is not None and entry.started_at != endpoint.started_at:
             endpoint.started_at = entry.started_at
-            is_plausible = earliest_start <= entry.started_at <= self._context.now
-            self._slow_start.begin(endpoint, entry.started_at if is_plausible else self._context.now)
+            self._slow_start.begin(endpoint, self._plausible_start(entry.started_at, earliest_start))
             if endpoint.ejected_until is not None and entry.state is EndpointState.READY:
                 self._outliers.readmit(endpoint)  # a new process: failures of the old one do not count
 
